Rename glenvale to wingspread: packages control and wirehost

The module and its interface move to wingspread.control, the simulator adapter to wingspread.wirehost, and the adapter's command word becomes wirehost.

--- a/src/main/java/glenvale/CallControl.java
+++ b/src/main/java/wingspread/control/CallControl.java
@@ -1,4 +1,4 @@
-package glenvale;
+package wingspread.control;
 
 import java.util.List;
 
--- a/src/main/java/glenvale/WindowControl.java
+++ b/src/main/java/wingspread/control/WindowControl.java
@@ -1,5 +1,5 @@
-// Interface: CallControl.java (settings, events, actions, types). All decisions of glenvale are in this file.
-package glenvale;
+// Interface: CallControl.java (settings, events, actions, types). All of wingspread's decisions are here.
+package wingspread.control;
 
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/glenvale/benchlink/FrameReader.java
+++ b/src/main/java/wingspread/wirehost/FrameReader.java
@@ -1,4 +1,4 @@
-package glenvale.benchlink;
+package wingspread.wirehost;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/glenvale/benchlink/Instance.java
+++ b/src/main/java/wingspread/wirehost/Instance.java
@@ -1,7 +1,7 @@
-package glenvale.benchlink;
+package wingspread.wirehost;
 
-import glenvale.CallControl;
-import glenvale.CallControl.Report;
+import wingspread.control.CallControl;
+import wingspread.control.CallControl.Report;
 import java.util.List;
 
 /** One softswitch on the wire: passes the actions of its control on to the reply. */
--- a/src/main/java/glenvale/benchlink/Instances.java
+++ b/src/main/java/wingspread/wirehost/Instances.java
@@ -1,15 +1,15 @@
-package glenvale.benchlink;
-
-import glenvale.CallControl;
-import glenvale.CallControl.Call;
-import glenvale.CallControl.Cause;
-import glenvale.CallControl.Exchange;
-import glenvale.CallControl.ListKind;
-import glenvale.CallControl.Outcome;
-import glenvale.CallControl.Readiness;
-import glenvale.CallControl.Report;
-import glenvale.CallControl.Status;
-import glenvale.WindowControl;
+package wingspread.wirehost;
+
+import wingspread.control.CallControl;
+import wingspread.control.CallControl.Call;
+import wingspread.control.CallControl.Cause;
+import wingspread.control.CallControl.Exchange;
+import wingspread.control.CallControl.ListKind;
+import wingspread.control.CallControl.Outcome;
+import wingspread.control.CallControl.Readiness;
+import wingspread.control.CallControl.Report;
+import wingspread.control.CallControl.Status;
+import wingspread.control.WindowControl;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/glenvale/benchlink/Main.java
+++ b/src/main/java/wingspread/wirehost/Main.java
@@ -1,4 +1,4 @@
-package glenvale.benchlink;
+package wingspread.wirehost;
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
@@ -22,7 +22,7 @@
     /**
      * Runs the adapter.
      *
-     * @param args the one word {@code benchlink}
+     * @param args the one word {@code wirehost}
      */
     public static void main(String[] args) {
         OutputStream wire = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), BUFFER);
@@ -33,8 +33,8 @@
      * Returns the exit code: 0 at a clean end of input, 1 on input it cannot read, 2 on a wrong command line.
      */
     static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            err.println("usage: java -jar glenvale.jar benchlink");
+        if (args.length != 1 || !args[0].equals("wirehost")) {
+            err.println("usage: java -jar wingspread.jar wirehost");
             return 2;
         }
         long frames = 0;
@@ -49,7 +49,7 @@
             }
             return 0;
         } catch (WireException | IOException e) {
-            err.println("glenvale: after " + frames + " frames: " + e.getMessage());
+            err.println("wingspread: after " + frames + " frames: " + e.getMessage());
             return 1;
         }
     }
--- a/src/main/java/glenvale/benchlink/ReplyWriter.java
+++ b/src/main/java/wingspread/wirehost/ReplyWriter.java
@@ -1,4 +1,4 @@
-package glenvale.benchlink;
+package wingspread.wirehost;
 
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
--- a/src/main/java/glenvale/benchlink/SettingsParser.java
+++ b/src/main/java/wingspread/wirehost/SettingsParser.java
@@ -1,12 +1,12 @@
-package glenvale.benchlink;
-
-import glenvale.CallControl.CallClass;
-import glenvale.CallControl.Effect;
-import glenvale.CallControl.Layout;
-import glenvale.CallControl.Obligations;
-import glenvale.CallControl.RepeatGroup;
-import glenvale.CallControl.Reports;
-import glenvale.CallControl.Settings;
+package wingspread.wirehost;
+
+import wingspread.control.CallControl.CallClass;
+import wingspread.control.CallControl.Effect;
+import wingspread.control.CallControl.Layout;
+import wingspread.control.CallControl.Obligations;
+import wingspread.control.CallControl.RepeatGroup;
+import wingspread.control.CallControl.Reports;
+import wingspread.control.CallControl.Settings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/glenvale/benchlink/WireException.java
+++ b/src/main/java/wingspread/wirehost/WireException.java
@@ -1,4 +1,4 @@
-package glenvale.benchlink;
+package wingspread.wirehost;
 
 /** Input that cannot be understood; the message names what and where, in one line. */
 final class WireException extends RuntimeException {
--- a/src/test/java/glenvale/RecordingHost.java
+++ b/src/test/java/wingspread/control/RecordingHost.java
@@ -1,20 +1,20 @@
-package glenvale;
-
-import glenvale.CallControl.Call;
-import glenvale.CallControl.CallClass;
-import glenvale.CallControl.Cause;
-import glenvale.CallControl.Effect;
-import glenvale.CallControl.Exchange;
-import glenvale.CallControl.Layout;
-import glenvale.CallControl.ListKind;
-import glenvale.CallControl.Obligations;
-import glenvale.CallControl.Outcome;
-import glenvale.CallControl.Readiness;
-import glenvale.CallControl.RepeatGroup;
-import glenvale.CallControl.Report;
-import glenvale.CallControl.Reports;
-import glenvale.CallControl.Settings;
-import glenvale.CallControl.Status;
+package wingspread.control;
+
+import wingspread.control.CallControl.Call;
+import wingspread.control.CallControl.CallClass;
+import wingspread.control.CallControl.Cause;
+import wingspread.control.CallControl.Effect;
+import wingspread.control.CallControl.Exchange;
+import wingspread.control.CallControl.Layout;
+import wingspread.control.CallControl.ListKind;
+import wingspread.control.CallControl.Obligations;
+import wingspread.control.CallControl.Outcome;
+import wingspread.control.CallControl.Readiness;
+import wingspread.control.CallControl.RepeatGroup;
+import wingspread.control.CallControl.Report;
+import wingspread.control.CallControl.Reports;
+import wingspread.control.CallControl.Settings;
+import wingspread.control.CallControl.Status;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/test/java/glenvale/RulesTest.java
+++ b/src/test/java/wingspread/control/RulesTest.java
@@ -1,17 +1,17 @@
-package glenvale;
+package wingspread.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import glenvale.CallControl.Cause;
-import glenvale.CallControl.Effect;
-import glenvale.CallControl.Layout;
-import glenvale.CallControl.ListKind;
-import glenvale.CallControl.Outcome;
-import glenvale.CallControl.Readiness;
-import glenvale.CallControl.Report;
-import glenvale.CallControl.Status;
+import wingspread.control.CallControl.Cause;
+import wingspread.control.CallControl.Effect;
+import wingspread.control.CallControl.Layout;
+import wingspread.control.CallControl.ListKind;
+import wingspread.control.CallControl.Outcome;
+import wingspread.control.CallControl.Readiness;
+import wingspread.control.CallControl.Report;
+import wingspread.control.CallControl.Status;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/glenvale/SizeTest.java
+++ b/src/test/java/wingspread/control/SizeTest.java
@@ -1,4 +1,4 @@
-package glenvale;
+package wingspread.control;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,7 +13,7 @@
 class SizeTest {
     private static final int MOST_LINES = 850;
     private static final int WIDEST = 110;
-    private static final Path SOURCES = Path.of("src/main/java/glenvale");
+    private static final Path SOURCES = Path.of("src/main/java/wingspread/control");
 
     @Test
     void moduleIsNotTooLong() throws IOException {
--- a/src/test/java/glenvale/WindowTest.java
+++ b/src/test/java/wingspread/control/WindowTest.java
@@ -1,11 +1,11 @@
-package glenvale;
+package wingspread.control;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import glenvale.CallControl.Cause;
-import glenvale.CallControl.Status;
+import wingspread.control.CallControl.Cause;
+import wingspread.control.CallControl.Status;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/glenvale/benchlink/WireTest.java
+++ b/src/test/java/wingspread/wirehost/WireTest.java
@@ -1,11 +1,11 @@
-package glenvale.benchlink;
+package wingspread.wirehost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import glenvale.CallControl.Layout;
-import glenvale.CallControl.Settings;
+import wingspread.control.CallControl.Layout;
+import wingspread.control.CallControl.Settings;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -62,7 +62,7 @@
     }
 
     private static Run play(String... frames) {
-        return run(String.join("", frames), "benchlink");
+        return run(String.join("", frames), "wirehost");
     }
 
     private static void assertComplaint(Run run, String word) {
