Make deadlines absolute across the module's interface

Seen: the interface handed over durations (time left, limit, delay), which each host had to anchor itself. Call.timeLeft, Host.send's limit and Host.timer's delay become points on the host's clock; the wire adapter converts from and to the wire's durations (Instance, Instances).

--- a/src/main/java/wingspread/control/CallControl.java
+++ b/src/main/java/wingspread/control/CallControl.java
@@ -7,8 +7,9 @@
  * types.
  *
  * <p>A host creates one control per exchange, feeds it events in the order in which they happen and carries
- * out the actions that the control asks of it. All times are microseconds on the host's clock; durations
- * likewise. Addresses, call ids and timer tokens are opaque numbers. A control is confined to one thread.
+ * out the actions that the control asks of it. All times are microseconds on the host's clock;
+ * deadlines are absolute on it. Addresses, call ids and timer tokens are opaque numbers. A control is confined
+ * to one thread.
  */
 public interface CallControl {
 
@@ -38,8 +39,8 @@
 
     /** What a control asks of its host. */
     interface Host {
-        /** Starts a set-up to an exchange: the destination itself, or a tandem. */
-        void send(long call, long exchange, long limit);
+        /** Starts a set-up to an exchange, the destination itself or a tandem, to be given up at a deadline. */
+        void send(long call, long exchange, long deadline);
 
         /** Final answer: refused; {@code retryAfter} of 0 gives no guidance. */
         void refuse(long call, long retryAfter);
@@ -50,8 +51,8 @@
         /** Stops waiting for one attempt. */
         void cancel(long call, int attempt);
 
-        /** Asks for {@link CallControl#onTimer} after a delay. */
-        void timer(long delay, long token);
+        /** Asks for {@link CallControl#onTimer} at a time. */
+        void timer(long at, long token);
 
         /** Asks an exchange for its health. */
         void probe(long exchange);
@@ -126,7 +127,7 @@
      * -1 for none.
      */
     record Call(
-            long id, int callClass, long number, long timeLeft, int destination, double width, int via,
+            long id, int callClass, long number, long deadline, int destination, double width, int via,
             boolean redial, boolean transit, boolean cut) { }
 
     /** The result of an attempt; {@code waitNamed} is the wait that a full processor named, else 0. */
--- a/src/main/java/wingspread/control/WindowControl.java
+++ b/src/main/java/wingspread/control/WindowControl.java
@@ -220,9 +220,9 @@
         Far maybeRanAt;
         long maybeRanSince;
 
-        Held(Call call, long now, long first, long aim) {
+        Held(Call call, long first, long aim) {
             this.call = call;
-            this.deadline = now + call.timeLeft();
+            this.deadline = call.deadline();
             this.aimAt = first + aim;
             this.holdUntil = first + (long) (HOLD_SHARE * aim);
         }
@@ -273,13 +273,13 @@
     @Override
     public void onCall(long now, Call call) {
         CallClass callClass = settings.classes().get(call.callClass());
-        Held held = new Held(call, now, firstTry(now, call, callClass), callClass.aim());
+        Held held = new Held(call, firstTry(now, call, callClass), callClass.aim());
         calls.put(call.id(), held);
         if (!call.transit()) {
             ownRate = ownRate * Math.exp((ownRateAt - now) / RATE_TIME) + 1_000_000 / RATE_TIME;
             ownRateAt = now;
         }
-        host.timer(Math.max(0, call.timeLeft() - ANSWER_MARGIN), token(TOKEN_DEADLINE, call.id()));
+        host.timer(Math.max(now, call.deadline() - ANSWER_MARGIN), token(TOKEN_DEADLINE, call.id()));
         route(now, held);
     }
 
@@ -343,7 +343,7 @@
     public void onExchangeList(long now, ListKind kind, List<Exchange> entries) {
         if (kind == ListKind.FAILED) {
             listRetry.grow(now, LIST_RETRY, LIST_RETRY_MAX);
-            host.timer(listRetry.length, token(TOKEN_LIST, 0));
+            host.timer(listRetry.until, token(TOKEN_LIST, 0));
             return;
         }
         if (kind != ListKind.CACHED) {
@@ -454,7 +454,7 @@
                 at--;
             }
             waiting.add(at, held);
-            host.timer(held.holdUntil - now, token(TOKEN_HOLD, held.call.id()));
+            host.timer(held.holdUntil, token(TOKEN_HOLD, held.call.id()));
         }
     }
 
@@ -568,8 +568,8 @@
 
     private void send(long now, Held held, Far far) {
         CallClass callClass = settings.classes().get(held.call.callClass());
-        long left = held.deadline - now - ANSWER_MARGIN;
-        long toAim = now >= held.aimAt ? callClass.aim() : Math.max(held.aimAt - now, callClass.aim() / 2);
+        long latest = held.deadline - ANSWER_MARGIN;
+        long toAim = now >= held.aimAt ? now + callClass.aim() : Math.max(held.aimAt, now + callClass.aim() / 2);
         stopWaiting(held);
         held.attempts++;
         held.out = true;
@@ -582,7 +582,7 @@
         if (far.cold) {
             far.coldCredit--;
         }
-        host.send(held.call.id(), far.address, held.call.transit() ? left : Math.min(left, toAim));
+        host.send(held.call.id(), far.address, held.call.transit() ? latest : Math.min(latest, toAim));
     }
 
     // Answers.
@@ -650,7 +650,7 @@
         if (hopeless || held.notBefore >= held.aimAt) {
             refuse(held, 0);
         } else if (held.notBefore > now) {
-            host.timer(held.notBefore - now, token(TOKEN_RELEASE, held.call.id()));
+            host.timer(held.notBefore, token(TOKEN_RELEASE, held.call.id()));
         } else {
             route(now, held);
         }
--- a/src/main/java/wingspread/wirehost/Instance.java
+++ b/src/main/java/wingspread/wirehost/Instance.java
@@ -10,6 +10,7 @@
     private final ReplyWriter reply;
     private final List<String> reportFields;
     private CallControl control;
+    private long now;
 
     Instance(long id, ReplyWriter reply, List<String> reportFields) {
         this.id = id;
@@ -21,6 +22,11 @@
         control = newControl;
     }
 
+    /** The clock of the batch that is played, from which the wire's durations count. */
+    void at(long batchClock) {
+        now = batchClock;
+    }
+
     CallControl control() {
         return control;
     }
@@ -39,8 +45,8 @@
     }
 
     @Override
-    public void send(long call, long exchange, long limit) {
-        reply.send(id, call, exchange, limit);
+    public void send(long call, long exchange, long deadline) {
+        reply.send(id, call, exchange, deadline - now);
     }
 
     @Override
@@ -59,8 +65,8 @@
     }
 
     @Override
-    public void timer(long delay, long token) {
-        reply.timer(id, delay, token);
+    public void timer(long at, long token) {
+        reply.timer(id, at - now, token);
     }
 
     @Override
--- a/src/main/java/wingspread/wirehost/Instances.java
+++ b/src/main/java/wingspread/wirehost/Instances.java
@@ -63,12 +63,16 @@
         SettingsParser.Parsed parsed = SettingsParser.parse(text);
         Instance instance = new Instance(current, reply, parsed.reportFields());
         instances.put(current, instance);
+        instance.at(now);
         guard(() -> instance.attach(new WindowControl(now, parsed.settings(), seed, instance)));
     }
 
     /** An event is read whole also where no instance lives any longer to hear it. */
     private void event(int code, int at, FrameReader in, long now) {
         Instance instance = instances.get(current);
+        if (instance != null) {
+            instance.at(now);
+        }
         switch (code) {
             case 0 -> {
                 long token = in.u64("tag");
@@ -90,7 +94,7 @@
                 tell(instance, c -> c.onDropped(now, call));
             }
             case 5 -> {
-                Call call = readCall(in);
+                Call call = readCall(in, now);
                 tell(instance, c -> c.onCall(now, call));
             }
             case 7 -> {
@@ -151,18 +155,18 @@
         lists.put(number, List.copyOf(entries));
     }
 
-    private static Call readCall(FrameReader in) {
+    private static Call readCall(FrameReader in, long now) {
         long id = in.u64("xid");
         int callClass = in.u16("category");
         in.u32("project");
         long number = in.u64("key");
-        long left = in.u32("time-budget");
+        long deadline = now + in.u32("time-budget");
         in.u32("predicted");
         int destination = (int) in.f32("called-node");
         double width = in.f32("slots-needed");
         int via = (int) in.f32("hop");
         int bits = in.u8("bits");
-        return new Call(id, callClass, number, left, destination, width, via, (bits & REDIAL) != 0,
+        return new Call(id, callClass, number, deadline, destination, width, via, (bits & REDIAL) != 0,
                 (bits & TRANSIT) != 0, (bits & CUT) != 0);
     }
 
--- a/src/test/java/wingspread/control/RecordingHost.java
+++ b/src/test/java/wingspread/control/RecordingHost.java
@@ -105,7 +105,7 @@
     long call(int callClass, int destination, long number, long left, int via, boolean transit) {
         long id = nextCall++;
         double width = callClass == 0 ? 1 : 4;
-        control.onCall(now, new Call(id, callClass, number, left, destination, width, via, false, transit, false));
+        control.onCall(now, new Call(id, callClass, number, now + left, destination, width, via, false, transit, false));
         return id;
     }
 
@@ -150,7 +150,8 @@
     }
 
     @Override
-    public void send(long call, long exchange, long limit) {
+    public void send(long call, long exchange, long deadline) {
+        long limit = deadline - now;
         attempts.merge(call, 0, (n, zero) -> n + 1);
         sends.add(new Send(call, exchange, limit, now));
         script.add("send " + call + " " + exchange + " " + limit);
@@ -175,8 +176,8 @@
     }
 
     @Override
-    public void timer(long delay, long token) {
-        timers.add(new Timer(now + delay, order++, token));
+    public void timer(long at, long token) {
+        timers.add(new Timer(at, order++, token));
     }
 
     @Override
