--- a/src/main/java/wingspread/control/CallControl.java
+++ b/src/main/java/wingspread/control/CallControl.java
@@ -8,8 +8,8 @@
  *
  * <p>A host creates one control per exchange, feeds it events in the order in which they happen and carries
  * out the actions that the control asks of it. All times are microseconds on the host's clock;
- * deadlines are absolute on it. Addresses, call ids and timer tokens are opaque numbers. A control is confined
- * to one thread.
+ * deadlines are absolute on it. Addresses, call ids and timer tokens are opaque numbers. A control is
+ * confined to one thread.
  */
 public interface CallControl {
 
