--- /dev/null
+++ b/src/main/java/wingspread/Main.java
@@ -0,0 +1,47 @@
+package wingspread;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wingspread.config.ConfigException;
+import wingspread.config.NodeConfig;
+import wingspread.wirehost.WireHost;
+
+/** The program's two commands. */
+public final class Main {
+    private static final Logger LOG = LoggerFactory.getLogger(Main.class);
+    private static final String USAGE = "usage: java -jar wingspread.jar serve | wirehost";
+
+    private Main() { }
+
+    /**
+     * Runs one command.
+     *
+     * @param args {@code serve} for a real softswitch, {@code wirehost} for the simulator's wire
+     */
+    public static void main(String[] args) {
+        int code = run(args);
+        if (code >= 0) {
+            System.exit(code);
+        }
+    }
+
+    /** The exit code, or -1 where the program goes on until it is told to end. */
+    static int run(String[] args) {
+        String command = args.length == 1 ? args[0] : "";
+        switch (command) {
+            case "wirehost":
+                return WireHost.run();
+            case "serve":
+                try {
+                    new Softswitch(NodeConfig.read(System.getenv())).start();
+                    return -1;
+                } catch (ConfigException | ReflectiveOperationException e) {
+                    LOG.error("wingspread: {}", e.getMessage());
+                    return 2;
+                }
+            default:
+                System.err.println(USAGE);
+                return 2;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/Softswitch.java
@@ -0,0 +1,116 @@
+package wingspread;
+
+import io.netty.channel.ChannelFuture;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wingspread.config.NodeConfig;
+import wingspread.config.SettingsParser;
+import wingspread.control.CallControl.ListKind;
+import wingspread.core.Event;
+import wingspread.core.Planner;
+import wingspread.directory.Directory;
+import wingspread.directory.Listing;
+import wingspread.front.jsonl.JsonlFront;
+import wingspread.link.Links;
+import wingspread.net.Loop;
+import wingspread.net.Metrics;
+import wingspread.net.Signals;
+import wingspread.net.UnixClock;
+
+/** One real softswitch: a planner, the forwarders round it, its start and its end. */
+final class Softswitch {
+    private static final Logger LOG = LoggerFactory.getLogger(Softswitch.class);
+    /** A caller may hold a third of the descriptors; a few more are let in before they are turned away. */
+    private static final double CALLERS_SHARE = 0.4;
+    private static final int MOST_CALLS = 4_096;
+    /** After the start, exchanges that say nothing are waited for so long at the most. */
+    private static final long READY_AT_LATEST = 2_000_000;
+    /** After SIGTERM: requests come in for so long, and an end is looked for so often. */
+    private static final long STILL_COMING = 700_000;
+    private static final long LOOK_EVERY = 20_000;
+    private static final long LAST_WRITES = 50_000;
+
+    private final NodeConfig config;
+    private final Loop loop = new Loop(new UnixClock());
+    private final Metrics metrics = new Metrics();
+    private final Planner planner;
+    private final Links links;
+    private final Directory directory;
+    private final JsonlFront front;
+    private final long startedAt;
+    private boolean ending;
+
+    Softswitch(NodeConfig config) {
+        this.config = config;
+        this.startedAt = loop.now();
+        SettingsParser.Parsed settings = config.settings();
+        this.links = new Links(loop, settings.connectTimeout(), settings.settings().ownPlace(), this::post, metrics);
+        this.planner = new Planner(loop::now, settings.settings(), config.seed(), MOST_CALLS, links, metrics);
+        this.directory = new Directory(loop, settings.zones(), settings.kinds(), config.seed(), this::told);
+        this.front = new JsonlFront(loop, settings.settings().classes(),
+                (int) (config.sockets() * CALLERS_SHARE), this::post, this::ready, metrics);
+        loop.serve(planner);
+    }
+
+    /** Starts to serve; returns at once. */
+    void start() throws ReflectiveOperationException {
+        loop.execute(() -> {
+            directory.known(config.known());
+            if (config.names() != null) {
+                directory.follow(config.names());
+            }
+            front.listen(config.listen()).addListener((ChannelFuture f) -> {
+                if (!f.isSuccess()) {
+                    LOG.error("cannot listen at {}: {}", config.listen(), f.cause().getMessage());
+                    System.exit(1);
+                }
+                LOG.info("{} listens at {}", config.name(), config.listen());
+            });
+        });
+        Signals.on("TERM", () -> loop.execute(this::end));
+        Signals.on("INT", () -> loop.execute(this::end));
+        Signals.on("HUP", () -> loop.execute(() -> LOG.info(metrics.toString())));
+    }
+
+    private void post(Event event) {
+        planner.post(event);
+    }
+
+    private void told(ListKind kind, List<Listing> listings) {
+        planner.post(new Event.Listed(kind, listings.stream().map(Listing::exchange).toList()));
+        links.update(listings);
+        loop.wantTurn();
+    }
+
+    private boolean ready() {
+        return !ending && (links.settled() || loop.now() - startedAt > READY_AT_LATEST);
+    }
+
+    /** Finishes what was taken, releases what stands, and ends. */
+    private void end() {
+        if (!ending) {
+            ending = true;
+            LOG.info("ending: {} calls are unanswered", planner.unanswered());
+            endAfter(loop.now() + STILL_COMING);
+        }
+    }
+
+    private void endAfter(long earliest) {
+        loop.at(loop.now() + LOOK_EVERY, () -> {
+            if (loop.now() < earliest || planner.unanswered() > 0) {
+                endAfter(earliest);
+                return;
+            }
+            front.stopListening();
+            planner.releaseAll();
+            loop.wantTurn();
+            loop.at(loop.now() + LAST_WRITES, () -> {
+                links.close();
+                front.close();
+                LOG.info(metrics.toString());
+                System.exit(0);
+            });
+        });
+    }
+}
--- a/src/main/java/wingspread/wirehost/SettingsParser.java
+++ b/src/main/java/wingspread/config/SettingsParser.java
@@ -1,4 +1,4 @@
-package wingspread.wirehost;
+package wingspread.config;
 
 import wingspread.control.CallControl.CallClass;
 import wingspread.control.CallControl.Effect;
@@ -13,24 +13,37 @@
 import java.util.Map;
 
 /** Reads the settings of an instance: path=value pairs, one per line. Unknown paths are ignored. */
-final class SettingsParser {
-    private final Map<String, String> pairs = new HashMap<>();
+public final class SettingsParser {
+    private final Map<String, String> pairs;
 
-    private SettingsParser(String text) {
+    private SettingsParser(Map<String, String> pairs) {
+        this.pairs = pairs;
+    }
+
+    private static Map<String, String> pairs(String text) {
+        Map<String, String> pairs = new HashMap<>();
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
             if (eq > 0) {
                 pairs.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
             }
         }
+        return pairs;
     }
 
-    /** The settings, and the names of the report's fields in their order. */
-    record Parsed(Settings settings, List<String> reportFields) { }
+    /** The settings; the names of the report's fields in their order; the names of zones and machine kinds. */
+    public record Parsed(Settings settings, List<String> reportFields, List<String> zones, List<String> kinds,
+            long connectTimeout, int mostHeld) { }
+
+    public static Parsed parse(String text) {
+        return parse(pairs(text));
+    }
 
-    static Parsed parse(String text) {
-        SettingsParser p = new SettingsParser(text);
-        return new Parsed(p.settings(), p.list("telemetry.fields"));
+    /** Reads settings that are already paths with their values. */
+    public static Parsed parse(Map<String, String> pairs) {
+        SettingsParser p = new SettingsParser(pairs);
+        return new Parsed(p.settings(), p.list("telemetry.fields"), p.list("zones"), p.list("kinds"),
+                p.time("limits.connect-timeout"), p.integer("limits.most-held", 0));
     }
 
     private Settings settings() {
@@ -92,7 +105,7 @@
     private String required(String key) {
         String value = pairs.get(key);
         if (value == null) {
-            throw new WireException("settings lack '" + key + "'");
+            throw new ConfigException("settings lack '" + key + "'");
         }
         return value;
     }
@@ -104,7 +117,7 @@
                 return constant;
             }
         }
-        throw new WireException("setting '" + key + "' is unreadable: '" + value + "'");
+        throw new ConfigException("setting '" + key + "' is unreadable: '" + value + "'");
     }
 
     private long requiredTime(String key) {
@@ -127,7 +140,7 @@
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new WireException("setting '" + key + "' is unreadable: '" + value + "'");
+            throw new ConfigException("setting '" + key + "' is unreadable: '" + value + "'");
         }
     }
 
--- a/src/main/java/wingspread/control/CallControl.java
+++ b/src/main/java/wingspread/control/CallControl.java
@@ -39,7 +39,7 @@
 
     /** What a control asks of its host. */
     interface Host {
-        /** Starts a set-up to an exchange, the destination itself or a tandem, to be given up at a deadline. */
+        /** Starts a set-up to the destination itself or a tandem, to be given up at a deadline. */
         void send(long call, long exchange, long deadline);
 
         /** Final answer: refused; {@code retryAfter} of 0 gives no guidance. */
--- a/src/main/java/wingspread/control/WindowControl.java
+++ b/src/main/java/wingspread/control/WindowControl.java
@@ -569,7 +569,8 @@
     private void send(long now, Held held, Far far) {
         CallClass callClass = settings.classes().get(held.call.callClass());
         long latest = held.deadline - ANSWER_MARGIN;
-        long toAim = now >= held.aimAt ? now + callClass.aim() : Math.max(held.aimAt, now + callClass.aim() / 2);
+        long toAim = now >= held.aimAt ? now + callClass.aim()
+                : Math.max(held.aimAt, now + callClass.aim() / 2);
         stopWaiting(held);
         held.attempts++;
         held.out = true;
--- /dev/null
+++ b/src/main/java/wingspread/core/Caller.java
@@ -0,0 +1,16 @@
+package wingspread.core;
+
+/** The caller's side of one call, as a front carries it. Nothing is said on a call after its last answer. */
+public interface Caller {
+    /** The call stands; the description is the exchange's, unchanged. */
+    void stands(byte[] description);
+
+    /** Final answer: refused; {@code wait} is how long to stay away in microseconds, 0 for no advice. */
+    void refused(long wait);
+
+    /** Final answer: failed. */
+    void failed();
+
+    /** A call that stood is over. */
+    void over(int cause);
+}
--- /dev/null
+++ b/src/main/java/wingspread/core/Event.java
@@ -0,0 +1,39 @@
+package wingspread.core;
+
+import java.util.List;
+import wingspread.control.CallControl.Cause;
+import wingspread.control.CallControl.Exchange;
+import wingspread.control.CallControl.ListKind;
+import wingspread.control.CallControl.Report;
+import wingspread.control.CallControl.Status;
+
+/** What the forwarders tell a planner. */
+public sealed interface Event {
+    /** A call has come in. */
+    record Offered(Request request, Caller caller) implements Event { }
+
+    /** A caller gave its set-up up, or released its call. */
+    record CallerEnded(String call, int cause) implements Event { }
+
+    /** An exchange says that the call stands; {@code index} is the attempt's, or -1 where it is not told. */
+    record Answered(long exchange, String call, int index, byte[] description) implements Event { }
+
+    /** An exchange turned a set-up away. */
+    record Rejected(long exchange, String call, int index, Status status, Cause cause, Report report)
+            implements Event { }
+
+    /** An exchange released a call that stood. */
+    record Released(long exchange, String call, int cause, Report report) implements Event { }
+
+    /** A set-up could not be sent, or its connection was lost: {@code CONNECT_FAILED} or {@code RESET}. */
+    record Broken(Attempt attempt, Status status) implements Event { }
+
+    /** The processor of an exchange has died: the calls through it are cut. */
+    record Died(long exchange) implements Event { }
+
+    /** The free circuits toward an exchange have changed. */
+    record Reported(long exchange, Report report) implements Event { }
+
+    /** News of the list of exchanges. */
+    record Listed(ListKind kind, List<Exchange> entries) implements Event { }
+}
--- /dev/null
+++ b/src/main/java/wingspread/core/Planner.java
@@ -0,0 +1,441 @@
+package wingspread.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wingspread.control.CallControl;
+import wingspread.control.CallControl.Cause;
+import wingspread.control.CallControl.Exchange;
+import wingspread.control.CallControl.Outcome;
+import wingspread.control.CallControl.Readiness;
+import wingspread.control.CallControl.Report;
+import wingspread.control.CallControl.Settings;
+import wingspread.control.CallControl.Status;
+import wingspread.control.WindowControl;
+import wingspread.net.Metrics;
+import wingspread.net.Worker;
+
+/**
+ * One exchange's identity: its calls, its deadlines and its instance of the module. It knows no wire.
+ * Forwarders {@link #post} events; a {@link #turn} hands all of them to the module in one go and then carries
+ * out, in order, what the module asked for. Each call gets one final answer, whatever the module asks.
+ */
+public final class Planner implements CallControl.Host, Worker {
+    /** Causes of Q.850: normal clearing, temporary failure. */
+    public static final int NORMAL = 16;
+    public static final int CUT = 41;
+    private static final Logger LOG = LoggerFactory.getLogger(Planner.class);
+    private static final long NO_NUMBER = 0;
+
+    private final LongSupplier clock;
+    private final Settings settings;
+    private final Exchanges exchanges;
+    private final Metrics metrics;
+    private final int mostCalls;
+    private final CallControl control;
+    private final ArrayDeque<Event> inbox = new ArrayDeque<>();
+    private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
+    private final PriorityQueue<Due> dues = new PriorityQueue<>(
+            Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final Map<String, Held> byId = new LinkedHashMap<>();
+    private final Map<Long, Held> byNumber = new HashMap<>();
+    private final Set<Long> listed = new HashSet<>();
+    private final Map<Long, Long> started = new HashMap<>();
+    private long nextCall = 1;
+    private long order;
+
+    /** A call from its coming in until nothing of it is awaited. */
+    private static final class Held {
+        final Request request;
+        final Caller caller;
+        final long number;
+        final List<Attempt> attempts = new ArrayList<>(1);
+        boolean answered;
+
+        Held(Request request, Caller caller, long number) {
+            this.request = request;
+            this.caller = caller;
+            this.number = number;
+        }
+
+        Attempt last() {
+            return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
+        }
+
+        boolean standing() {
+            return last() != null && last().standing();
+        }
+
+        boolean out() {
+            return last() != null && last().out();
+        }
+    }
+
+    /** Something to do at a time. */
+    private record Due(long at, long order, Runnable what) { }
+
+    public Planner(LongSupplier clock, Settings settings, long seed, int mostCalls, Exchanges exchanges,
+            Metrics metrics) {
+        this.clock = clock;
+        this.settings = settings;
+        this.exchanges = exchanges;
+        this.metrics = metrics;
+        this.mostCalls = mostCalls;
+        this.control = new WindowControl(clock.getAsLong(), settings, seed, this);
+    }
+
+    /** Takes an event for the next turn. */
+    public void post(Event event) {
+        inbox.add(event);
+    }
+
+    @Override
+    public void turn() {
+        long now = clock.getAsLong();
+        do {
+            while (!inbox.isEmpty()) {
+                handle(now, inbox.remove());
+            }
+            while (!dues.isEmpty() && dues.peek().at() <= now) {
+                dues.remove().what().run();
+            }
+            while (!actions.isEmpty()) {
+                actions.remove().run();
+            }
+        } while (!inbox.isEmpty());
+    }
+
+    @Override
+    public long nextDue() {
+        return dues.isEmpty() ? Long.MAX_VALUE : dues.peek().at();
+    }
+
+    /** Calls that are owed an answer. */
+    public long unanswered() {
+        return byId.values().stream().filter(held -> !held.answered).count();
+    }
+
+    /** Releases every standing call on both sides; for the end of the program. */
+    public void releaseAll() {
+        for (Held held : List.copyOf(byId.values())) {
+            if (held.standing()) {
+                exchanges.release(held.last().exchange(), held.request.id(), CUT);
+                finish(clock.getAsLong(), held, Status.CANCELLED, Report.NOTHING, CUT);
+            } else if (held.out()) {
+                exchanges.withdraw(held.last());
+                held.last().end();
+                forgetIfDone(held);
+            }
+        }
+    }
+
+    // Events.
+
+    private void handle(long now, Event event) {
+        if (event instanceof Event.Offered e) {
+            offered(now, e.request(), e.caller());
+        } else if (event instanceof Event.CallerEnded e) {
+            callerEnded(now, e.call(), e.cause());
+        } else if (event instanceof Event.Answered e) {
+            answered(now, e);
+        } else if (event instanceof Event.Rejected e) {
+            Attempt attempt = attempt(e.exchange(), e.call(), e.index());
+            if (attempt != null && attempt.out()) {
+                ended(now, attempt, e.status(), e.cause(), e.report());
+            }
+        } else if (event instanceof Event.Released e) {
+            released(now, e);
+        } else if (event instanceof Event.Broken e) {
+            if (e.attempt().out()) {
+                ended(now, e.attempt(), e.status(), Cause.NONE, Report.NOTHING);
+            }
+        } else if (event instanceof Event.Died e) {
+            cutAll(now, e.exchange(), Long.MAX_VALUE);
+        } else if (event instanceof Event.Reported e) {
+            control.onReport(now, e.exchange(), Status.OK, 0, e.report());
+        } else if (event instanceof Event.Listed e) {
+            listed(now, e);
+        }
+    }
+
+    private void offered(long now, Request request, Caller caller) {
+        metrics.count("taken.calls");
+        // Guards against a set-up that comes twice, which must not start a second attempt or free the first.
+        if (byId.containsKey(request.id())) {
+            metrics.count("taken.repeats");
+            return;
+        }
+        // Guards against more calls than the memory can hold: refused before the module hears of them.
+        if (byId.size() >= mostCalls) {
+            metrics.count("answered.overfull");
+            caller.refused(settings.maxRetryAfter());
+            return;
+        }
+        Held held = new Held(request, caller, nextCall++);
+        byId.put(request.id(), held);
+        byNumber.put(held.number, held);
+        due(request.deadline(), () -> overdue(held));
+        control.onCall(now, new CallControl.Call(held.number, request.callClass(), number(request.number()),
+                request.deadline(), request.destination(), request.width(), request.via(), request.redial(),
+                request.transit(), request.cut()));
+    }
+
+    private static long number(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            return text.isEmpty() ? NO_NUMBER : 1L + text.hashCode();
+        }
+    }
+
+    /** Guards against a module that lets a caller's time run out: the answer owed is given all the same. */
+    private void overdue(Held held) {
+        if (!held.answered) {
+            LOG.warn("call {} came to its deadline unanswered", held.request.id());
+            control.onDropped(clock.getAsLong(), held.number);
+            answer(held, "failed", held.caller::failed);
+        }
+    }
+
+    private void callerEnded(long now, String id, int cause) {
+        Held held = byId.get(id);
+        if (held == null) {
+            return;
+        }
+        if (held.standing()) {
+            metrics.count("taken.releases");
+            exchanges.release(held.last().exchange(), id, cause);
+            held.last().end();
+            outcome(now, held, held.last(), Status.CANCELLED, Cause.NONE, Report.NOTHING);
+            forgetIfDone(held);
+        } else if (!held.answered) {
+            metrics.count("taken.given-up");
+            held.answered = true;
+            control.onDropped(now, held.number);
+            forgetIfDone(held);
+        }
+    }
+
+    private void answered(long now, Event.Answered e) {
+        Attempt attempt = attempt(e.exchange(), e.call(), e.index());
+        if (attempt != null && attempt.standing()) {
+            return;
+        }
+        Held held = byId.get(e.call());
+        // Guards against an answer that crosses our CANCEL or time-out: the exchange holds a call to stand that
+        // nobody waits for, and would keep its circuits.
+        if (attempt == null || !attempt.out() || held.answered) {
+            metrics.count("sent.crossed-releases");
+            exchanges.release(e.exchange(), e.call(), NORMAL);
+            if (attempt != null && attempt.out()) {
+                ended(now, attempt, Status.CANCELLED, Cause.NONE, Report.NOTHING);
+            }
+            return;
+        }
+        attempt.stand();
+        control.onStood(now, held.number, attempt.index(), attempt.exchange(), now - attempt.sentAt());
+        answer(held, "stood", () -> held.caller.stands(e.description()));
+    }
+
+    private void released(long now, Event.Released e) {
+        Held held = byId.get(e.call());
+        Attempt attempt = attempt(e.exchange(), e.call(), -1);
+        if (attempt != null && attempt.standing()) {
+            finish(now, held, e.cause() == NORMAL ? Status.OK : Status.RESET, e.report(), e.cause());
+        } else if (attempt != null && attempt.out()) {
+            ended(now, attempt, Status.RESET, Cause.NONE, e.report());
+        }
+    }
+
+    private void listed(long now, Event.Listed e) {
+        control.onExchangeList(now, e.kind(), e.entries());
+        for (Exchange entry : e.entries()) {
+            listed.add(entry.address());
+            Long before = started.put(entry.address(), entry.upSince());
+            if (entry.readiness() == Readiness.GONE) {
+                cutAll(now, entry.address(), Long.MAX_VALUE);
+            } else if (before != null && entry.upSince() > before) {
+                cutAll(now, entry.address(), entry.upSince());
+            }
+        }
+    }
+
+    /** Ends the calls that stood through an exchange and were sent before it last started. */
+    private void cutAll(long now, long exchange, long sentBefore) {
+        for (Held held : List.copyOf(byId.values())) {
+            Attempt last = held.last();
+            if (held.standing() && last.exchange() == exchange && last.sentAt() < sentBefore) {
+                finish(now, held, Status.RESET, Report.NOTHING, CUT);
+            }
+        }
+    }
+
+    /** A standing call is over. */
+    private void finish(long now, Held held, Status status, Report report, int cause) {
+        Attempt attempt = held.last();
+        attempt.end();
+        metrics.count(cause == NORMAL ? "answered.over" : "answered.cut");
+        held.caller.over(cause);
+        outcome(now, held, attempt, status, Cause.NONE, report);
+        forgetIfDone(held);
+    }
+
+    /** An attempt ended without bringing the call to stand. */
+    private void ended(long now, Attempt attempt, Status status, Cause cause, Report report) {
+        attempt.end();
+        metrics.count("ended." + status + (cause == Cause.NONE ? "" : "." + cause));
+        Held held = byNumber.get(attempt.call());
+        outcome(now, held, attempt, status, cause, report);
+        forgetIfDone(held);
+    }
+
+    private void outcome(long now, Held held, Attempt attempt, Status status, Cause cause, Report report) {
+        control.onOutcome(now, new Outcome(held.number, attempt.index(), held.answered, attempt.exchange(),
+                now - attempt.sentAt(), status, cause, 0, report));
+    }
+
+    private Attempt attempt(long exchange, String id, int index) {
+        Held held = byId.get(id);
+        if (held == null) {
+            return null;
+        }
+        if (index >= 0 && index < held.attempts.size() && held.attempts.get(index).exchange() == exchange) {
+            return held.attempts.get(index);
+        }
+        Attempt last = held.last();
+        return last != null && last.exchange() == exchange ? last : null;
+    }
+
+    private void forgetIfDone(Held held) {
+        if (held.answered && !held.out() && !held.standing()) {
+            byId.remove(held.request.id());
+            byNumber.remove(held.number);
+        }
+    }
+
+    private void answer(Held held, String kind, Runnable saying) {
+        held.answered = true;
+        metrics.count("answered." + kind);
+        saying.run();
+        forgetIfDone(held);
+    }
+
+    private void due(long at, Runnable what) {
+        dues.add(new Due(at, order++, what));
+    }
+
+    // What the module asks for.
+
+    @Override
+    public void send(long call, long exchange, long deadline) {
+        actions.add(() -> {
+            Held held = byNumber.get(call);
+            if (held != null) {
+                start(held, exchange, deadline);
+            }
+        });
+    }
+
+    private void start(Held held, long exchange, long deadline) {
+        long now = clock.getAsLong();
+        Attempt attempt = new Attempt(held.request, held.number, held.attempts.size(), exchange, now,
+                Math.min(deadline, held.request.deadline()));
+        // Guards the rules whatever the module asks: no second set-up beside one that is out, no set-up of a
+        // call that has its answer, none beyond the most attempts, none to an exchange that no list has named.
+        if (held.answered || held.out() || attempt.index() >= settings.maxAttempts() || !listed.contains(exchange)
+                || attempt.deadline() <= now) {
+            metrics.count("ended.MOOT.unsent");
+            if (!held.out()) {
+                held.attempts.add(attempt);
+                inbox.add(new Event.Broken(attempt, Status.MOOT));
+            }
+            return;
+        }
+        held.attempts.add(attempt);
+        due(attempt.deadline(), () -> timedOut(attempt));
+        metrics.count("sent.set-ups");
+        exchanges.invite(attempt);
+    }
+
+    private void timedOut(Attempt attempt) {
+        if (attempt.out()) {
+            exchanges.withdraw(attempt);
+            ended(clock.getAsLong(), attempt, Status.TIMEOUT, Cause.NONE, Report.NOTHING);
+        }
+    }
+
+    @Override
+    public void refuse(long call, long retryAfter) {
+        actions.add(() -> unansweredCall(call, "refused", held -> held.caller.refused(retryAfter)));
+    }
+
+    @Override
+    public void fail(long call) {
+        actions.add(() -> unansweredCall(call, "failed", held -> held.caller.failed()));
+    }
+
+    /** Guards against a second final answer: what has been answered is left alone. */
+    private void unansweredCall(long call, String kind, Consumer<Held> saying) {
+        Held held = byNumber.get(call);
+        if (held != null && !held.answered) {
+            answer(held, kind, () -> saying.accept(held));
+        }
+    }
+
+    @Override
+    public void cancel(long call, int attempt) {
+        actions.add(() -> {
+            Held held = byNumber.get(call);
+            if (held != null && held.out() && held.last().index() == attempt) {
+                exchanges.withdraw(held.last());
+                inbox.add(new Event.Broken(held.last(), Status.CANCELLED));
+            }
+        });
+    }
+
+    @Override
+    public void timer(long at, long token) {
+        due(at, () -> control.onTimer(clock.getAsLong(), token));
+    }
+
+    @Override
+    public void probe(long exchange) {
+        LOG.warn("a probe of exchange {} was asked for; this platform allows none", exchange);
+    }
+
+    @Override
+    public void closeIdle(long exchange) {
+        actions.add(() -> exchanges.closeIdle(exchange));
+    }
+
+    @Override
+    public void tell(int peer, byte[] message) {
+        LOG.warn("a message to softswitch {} was asked for; this platform allows none", peer);
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info(line);
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        // The directory is followed at all times.
+    }
+
+    @Override
+    public void fetchList() {
+        // The directory is followed at all times.
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/core/Request.java
@@ -0,0 +1,9 @@
+package wingspread.core;
+
+/**
+ * A call as a caller asks for it. Id, class, number and description go on unchanged; {@code deadline} is the
+ * point in time at which the caller gives up.
+ */
+public record Request(
+        String id, String className, int callClass, String number, byte[] description, long deadline,
+        int destination, double width, int via, boolean redial, boolean transit, boolean cut) { }
--- /dev/null
+++ b/src/main/java/wingspread/directory/Directory.java
@@ -0,0 +1,242 @@
+package wingspread.directory;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wingspread.control.CallControl.Exchange;
+import wingspread.control.CallControl.ListKind;
+import wingspread.control.CallControl.Readiness;
+import wingspread.net.BadInput;
+import wingspread.net.Loop;
+
+/**
+ * The list of exchanges: that of the start, then what the directory says when it is asked. Exchanges are told
+ * apart by their uid, since an address may pass from one to the next; each uid has a number of ours.
+ */
+public final class Directory {
+    private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
+    private static final String SERVICE = "_back._tcp.pool.lan";
+    /** Asked so often that a lost datagram is made up for well within the time in which news counts as told. */
+    private static final long ASK_EVERY = 300_000;
+    private static final int LONGEST_ANSWER = 9_000;
+
+    private final Loop loop;
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final BiConsumer<ListKind, List<Listing>> told;
+    private final SplittableRandom random;
+    private final Map<String, Long> numbers = new HashMap<>();
+    private final Map<String, Listing> present = new LinkedHashMap<>();
+    private long serial;
+    private int asked = -1;
+
+    public Directory(Loop loop, List<String> zones, List<String> kinds, long seed,
+            BiConsumer<ListKind, List<Listing>> told) {
+        this.loop = loop;
+        this.zones = zones;
+        this.kinds = kinds;
+        this.told = told;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** Takes the events of the start, as the configuration keeps them. */
+    public void known(Map<?, ?> known) {
+        if (known.get("notices") instanceof List<?> notices) {
+            for (Object notice : notices) {
+                if (notice instanceof Map<?, ?> map && map.get("pool") instanceof Map<?, ?> pool) {
+                    apply(pool);
+                }
+            }
+        }
+        if (known.get("rev") instanceof Double rev) {
+            serial = rev.longValue();
+        }
+        told.accept(ListKind.CACHED, List.copyOf(present.values()));
+    }
+
+    private void apply(Map<?, ?> pool) {
+        if (Boolean.TRUE.equals(pool.get("all"))) {
+            present.clear();
+        }
+        if (pool.get("targets") instanceof List<?> targets) {
+            for (Object target : targets) {
+                if (target instanceof Map<?, ?> map) {
+                    Listing listing = fromJson(map);
+                    present.put(listing.uid(), listing);
+                }
+            }
+        }
+    }
+
+    private Listing fromJson(Map<?, ?> map) {
+        String endpoint = String.valueOf(map.get("endpoint"));
+        int colon = endpoint.lastIndexOf(':');
+        Readiness readiness = switch (String.valueOf(map.get("state"))) {
+            case "up" -> Readiness.READY;
+            case "draining" -> Readiness.DRAINING;
+            default -> Readiness.GONE;
+        };
+        return listing(String.valueOf(map.get("uid")).toLowerCase(Locale.ROOT),
+                new InetSocketAddress(endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1))),
+                String.valueOf(map.get("az")), String.valueOf(map.get("model")), number(map.get("pod_group")),
+                readiness, number(map.get("capacity_hint")), (long) number(map.get("boot_ms")));
+    }
+
+    private static double number(Object value) {
+        return value instanceof Double d ? d : 0;
+    }
+
+    private Listing listing(String uid, InetSocketAddress endpoint, String zone, String kind, double cell,
+            Readiness readiness, double weight, long startedMs) {
+        long number = numbers.computeIfAbsent(uid, u -> numbers.size() + 1L);
+        return new Listing(uid, endpoint, new Exchange(number, Math.max(0, zones.indexOf(zone)),
+                Math.max(0, kinds.indexOf(kind)), (int) cell, readiness, weight, startedMs * 1_000));
+    }
+
+    /** Starts to ask the directory. */
+    public void follow(InetSocketAddress server) {
+        new Bootstrap().group(loop.group()).channel(NioDatagramChannel.class)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST_ANSWER))
+                .handler(new Answers())
+                .connect(server)
+                .addListener(f -> {
+                    if (f.isSuccess()) {
+                        ask(((io.netty.channel.ChannelFuture) f).channel());
+                    } else {
+                        LOG.error("the directory cannot be asked: {}", f.cause().toString());
+                    }
+                });
+    }
+
+    private void ask(Channel channel) {
+        asked = random.nextInt(1 << 16);
+        channel.writeAndFlush(Unpooled.wrappedBuffer(DnsMessage.query(asked, SERVICE)));
+        loop.at(loop.now() + ASK_EVERY, () -> ask(channel));
+    }
+
+    /** Reads datagrams from the directory. */
+    private final class Answers extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            ByteBuf content = packet.content();
+            byte[] bytes = new byte[content.readableBytes()];
+            content.readBytes(bytes);
+            try {
+                answer(DnsMessage.parse(bytes));
+            } catch (BadInput e) {
+                LOG.warn("an answer of the directory was dropped: {}", e.getMessage());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof IOException) {
+                LOG.warn("the directory does not answer: {}", cause.toString());
+            } else {
+                ctx.fireExceptionCaught(cause);
+            }
+        }
+    }
+
+    /** Takes an answer: what is not in the whole list has gone. */
+    void answer(DnsMessage message) throws BadInput {
+        long newSerial = message.records().stream().filter(DnsMessage.Soa.class::isInstance)
+                .mapToLong(r -> ((DnsMessage.Soa) r).serial()).max().orElse(-1);
+        // Guards against an answer that was overtaken by a later one, or is not for the last question.
+        if (message.id() != asked || message.code() != 0 || newSerial <= serial) {
+            return;
+        }
+        Map<String, Listing> now = list(message);
+        List<Listing> changes = new ArrayList<>();
+        for (Listing old : present.values()) {
+            if (!now.containsKey(old.uid()) && old.exchange().readiness() != Readiness.GONE) {
+                Exchange e = old.exchange();
+                changes.add(new Listing(old.uid(), old.endpoint(), new Exchange(e.address(), e.zone(), e.kind(),
+                        e.place(), Readiness.GONE, e.weight(), e.upSince())));
+            }
+        }
+        for (Listing listing : now.values()) {
+            if (!listing.equals(present.get(listing.uid()))) {
+                changes.add(listing);
+            }
+        }
+        serial = newSerial;
+        for (Listing change : changes) {
+            present.put(change.uid(), change);
+            LOG.info("directory {}: {} at {} is {}, started {}", serial, change.uid(), change.endpoint(),
+                    change.exchange().readiness(), change.exchange().upSince());
+        }
+        if (!changes.isEmpty()) {
+            told.accept(ListKind.DELTA, changes);
+        }
+    }
+
+    private Map<String, Listing> list(DnsMessage message) throws BadInput {
+        Map<String, byte[]> addresses = new HashMap<>();
+        Map<String, Map<String, String>> facts = new HashMap<>();
+        for (DnsMessage.Record record : message.records()) {
+            if (record instanceof DnsMessage.Address a) {
+                addresses.put(a.name(), a.bytes());
+            } else if (record instanceof DnsMessage.Text t) {
+                Map<String, String> of = facts.computeIfAbsent(t.name(), n -> new HashMap<>());
+                for (String text : t.texts()) {
+                    int eq = text.indexOf('=');
+                    of.put(eq < 0 ? text : text.substring(0, eq), text.substring(eq + 1));
+                }
+            }
+        }
+        Map<String, Listing> out = new LinkedHashMap<>();
+        for (DnsMessage.Record record : message.records()) {
+            if (record instanceof DnsMessage.Srv srv) {
+                byte[] address = addresses.get(srv.target());
+                if (address == null) {
+                    throw new BadInput("DNS: no address for " + srv.target());
+                }
+                String[] labels = srv.target().split("\\.");
+                Map<String, String> of = facts.getOrDefault(srv.target(), Map.of());
+                out.put(labels[0], listing(labels[0], endpoint(address, srv.port()),
+                        labels.length > 1 ? labels[1] : "", of.getOrDefault("kind", ""),
+                        fact(of, "cell"), srv.priority() == 0 ? Readiness.READY : Readiness.DRAINING,
+                        srv.weight() / 10.0, fact(of, "started")));
+            }
+        }
+        return out;
+    }
+
+    private static long fact(Map<String, String> facts, String name) throws BadInput {
+        try {
+            return Long.parseLong(facts.getOrDefault(name, "0"));
+        } catch (NumberFormatException e) {
+            throw new BadInput("DNS: " + name + " is no number");
+        }
+    }
+
+    private static InetSocketAddress endpoint(byte[] address, int port) throws BadInput {
+        try {
+            return new InetSocketAddress(InetAddress.getByAddress(address), port);
+        } catch (UnknownHostException e) {
+            throw new BadInput("DNS: an address of a wrong length");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -0,0 +1,267 @@
+package wingspread.front.jsonl;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wingspread.control.CallControl.CallClass;
+import wingspread.core.Caller;
+import wingspread.core.Event;
+import wingspread.core.Planner;
+import wingspread.core.Request;
+import wingspread.json.Json;
+import wingspread.net.BadInput;
+import wingspread.net.CloseReason;
+import wingspread.net.Loop;
+import wingspread.net.MessageHandler;
+import wingspread.net.Metrics;
+
+/** The platform's front: callers' JSON lines over TCP. It decides nothing. */
+public final class JsonlFront implements MessageHandler.Owner<Map<?, ?>> {
+    private static final Logger LOG = LoggerFactory.getLogger(JsonlFront.class);
+    private static final int REFUSED = 42;
+    private static final int INVALID = 100;
+    private static final int MOST_RELEASES = 4_096;
+
+    private final Loop loop;
+    private final List<CallClass> classes;
+    private final int mostConnections;
+    private final Consumer<Event> planner;
+    private final BooleanSupplier ready;
+    private final Metrics metrics;
+    private final Map<Channel, Set<Leg>> connections = new LinkedHashMap<>();
+    private final ArrayDeque<String> unsentReleases = new ArrayDeque<>();
+    private Channel listener;
+
+    public JsonlFront(Loop loop, List<CallClass> classes, int mostConnections, Consumer<Event> planner,
+            BooleanSupplier ready, Metrics metrics) {
+        this.loop = loop;
+        this.classes = classes;
+        this.mostConnections = mostConnections;
+        this.planner = planner;
+        this.ready = ready;
+        this.metrics = metrics;
+    }
+
+    /** Starts to listen. */
+    public ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 512)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        accept(channel);
+                    }
+                })
+                .bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    /** Stops to listen; connections stay. */
+    public void stopListening() {
+        listener.close();
+    }
+
+    /** Closes all connections. */
+    public void close() {
+        List.copyOf(connections.keySet()).forEach(c -> MessageHandler.close(c, CloseReason.SHUTDOWN));
+    }
+
+    private void accept(SocketChannel channel) {
+        // Guards the limit on descriptors: what is beyond it is closed before it can ask for anything.
+        boolean tooMany = connections.size() >= mostConnections;
+        channel.pipeline().addLast(new MessageHandler<>("caller", new LineDecoder(), this));
+        connections.put(channel, new LinkedHashSet<>());
+        if (tooMany) {
+            loop.execute(() -> MessageHandler.close(channel, CloseReason.TOO_MANY));
+            return;
+        }
+        while (!unsentReleases.isEmpty()) {
+            String line = unsentReleases.remove();
+            loop.execute(() -> write(channel, line));
+        }
+    }
+
+    @Override
+    public void ended(Channel channel, CloseReason reason) {
+        Set<Leg> legs = connections.remove(channel);
+        for (Leg leg : legs == null ? Set.<Leg>of() : legs) {
+            post(new Event.CallerEnded(leg.id, Planner.NORMAL));
+        }
+    }
+
+    private void post(Event event) {
+        planner.accept(event);
+        loop.wantTurn();
+    }
+
+    // From callers.
+
+    @Override
+    public void received(Channel channel, Map<?, ?> message) throws BadInput {
+        String call = text(message, "call");
+        switch (text(message, "op")) {
+            case "offer" -> offer(channel, call, message);
+            case "end" -> {
+                int cause = message.get("why") instanceof Double d ? d.intValue() : Planner.NORMAL;
+                connections.get(channel).removeIf(leg -> leg.id.equals(call));
+                post(new Event.CallerEnded(call, cause));
+                if (cause != Planner.NORMAL) {
+                    write(channel, line("ended", call, "", -1, null));
+                }
+            }
+            case "test" -> write(channel, line("tested", call, "", ready.getAsBoolean() ? 1 : 0, null));
+            case "ringing", "accept", "ended", "tested", "group" -> metrics.count("taken.free");
+            default -> throw new BadInput("JSON lines: an unknown op");
+        }
+    }
+
+    private void offer(Channel channel, String call, Map<?, ?> message) throws BadInput {
+        Map<?, ?> with = message.get("with") instanceof Map<?, ?> map ? map : Map.of();
+        Leg leg = new Leg(call, channel);
+        int callClass = classOf(text(with, "class"));
+        Map<String, Double> extras = extras(text(with, "extras"));
+        Double left = number(with.get("left"));
+        if (callClass < 0 || left == null || left < 0 || !extras.containsKey("dest") || call.isEmpty()) {
+            LOG.info("caller {} offers a call that cannot be read: {}", channel.remoteAddress(), call);
+            metrics.count("answered.invalid");
+            write(channel, line("end", call, "", INVALID, null));
+            return;
+        }
+        connections.get(channel).add(leg);
+        post(new Event.Offered(new Request(call, text(with, "class"), callClass, text(with, "key"),
+                text(message, "desc").getBytes(StandardCharsets.ISO_8859_1),
+                loop.now() + (long) (left * 1_000), extras.get("dest").intValue(),
+                extras.getOrDefault("width", 1.0), extras.getOrDefault("via", -1.0).intValue(),
+                !text(with, "retry").isEmpty(), extras.getOrDefault("transit", 0.0) > 0,
+                extras.getOrDefault("again", 0.0) > 0), leg));
+    }
+
+    private int classOf(String name) {
+        for (int i = 0; i < classes.size(); i++) {
+            if (classes.get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private static Map<String, Double> extras(String text) {
+        Map<String, Double> out = new HashMap<>();
+        for (String part : text.split(";")) {
+            int colon = part.indexOf(':');
+            Double value = colon < 0 ? null : number(part.substring(colon + 1));
+            if (value != null) {
+                out.put(part.substring(0, colon), value);
+            }
+        }
+        return out;
+    }
+
+    private static Double number(Object value) {
+        if (value instanceof Double d) {
+            return d;
+        }
+        try {
+            return value instanceof String s ? Double.valueOf(s) : null;
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    /** A field that may be a string or a number, as text. */
+    private static String text(Map<?, ?> map, String name) {
+        Object value = map.get(name);
+        if (value instanceof Double d) {
+            return d == Math.rint(d) ? Long.toString(d.longValue()) : d.toString();
+        }
+        return value instanceof String s ? s : "";
+    }
+
+    // To callers.
+
+    private static String line(String op, String call, String with, int why, String description) {
+        StringBuilder out = new StringBuilder(128).append("{\"op\":\"").append(op).append("\",\"call\":");
+        Json.quote(out, call);
+        out.append(",\"with\":{").append(with).append('}');
+        if (why >= 0) {
+            out.append(",\"why\":").append(why);
+        }
+        if (description != null) {
+            out.append(",\"desc\":");
+            Json.quote(out, description);
+        }
+        return out.append("}\n").toString();
+    }
+
+    private void write(Channel channel, String line) {
+        MessageHandler.write(channel, Unpooled.wrappedBuffer(line.getBytes(StandardCharsets.ISO_8859_1)));
+        loop.touch(channel);
+    }
+
+    /** A call's way back to its caller. */
+    private final class Leg implements Caller {
+        private final String id;
+        private final Channel channel;
+
+        Leg(String id, Channel channel) {
+            this.id = id;
+            this.channel = channel;
+        }
+
+        private void answer(String line) {
+            Set<Leg> legs = connections.get(channel);
+            if (legs != null) {
+                legs.remove(this);
+                write(channel, line);
+            }
+        }
+
+        @Override
+        public void stands(byte[] description) {
+            answer(line("accept", id, "", -1, new String(description, StandardCharsets.ISO_8859_1)));
+        }
+
+        @Override
+        public void refused(long wait) {
+            answer(line("end", id, wait > 0 ? "\"wait\":\"" + (wait + 999) / 1_000 + "\"" : "", REFUSED, null));
+        }
+
+        @Override
+        public void failed() {
+            answer(line("end", id, "", Planner.CUT, null));
+        }
+
+        /** Guards against a caller's connection that has closed: the release takes any other, or the next. */
+        @Override
+        public void over(int cause) {
+            String line = line("end", id, "", cause, null);
+            Channel target = channel.isActive() && connections.containsKey(channel) ? channel
+                    : connections.keySet().stream().filter(Channel::isActive).findFirst().orElse(null);
+            if (target != null) {
+                write(target, line);
+            } else if (unsentReleases.size() < MOST_RELEASES) {
+                unsentReleases.add(line);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/link/Link.java
@@ -0,0 +1,385 @@
+package wingspread.link;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import wingspread.control.CallControl.Cause;
+import wingspread.control.CallControl.Readiness;
+import wingspread.control.CallControl.Report;
+import wingspread.control.CallControl.Status;
+import wingspread.core.Attempt;
+import wingspread.core.Event;
+import wingspread.directory.Listing;
+import wingspread.net.CloseReason;
+import wingspread.net.Loop;
+import wingspread.net.MessageHandler;
+import wingspread.net.Metrics;
+import wingspread.sip.SipDecoder;
+import wingspread.sip.SipMessage;
+
+/**
+ * The connections to one exchange. The newest that works carries the set-ups; one that has fallen silent is
+ * replaced. One is kept open at all times: the state of the group and releases arrive on it.
+ */
+final class Link implements MessageHandler.Owner<SipMessage> {
+    private static final Logger LOG = LoggerFactory.getLogger("connection");
+    private static final int MOST_CONNECTIONS = 4;
+    private static final int MOST_WAITING = 256;
+    private static final int MOST_RELEASES = 4_096;
+    private static final long RETRY = 100_000;
+    private static final long RETRY_MAX = 800_000;
+
+    private final Loop loop;
+    private final long number;
+    private final long connectTimeout;
+    private final Consumer<Event> events;
+    private final Metrics metrics;
+    private InetSocketAddress endpoint;
+    private Readiness readiness = Readiness.READY;
+    /** Connections that are up, oldest first, each with the set-ups open on it by call. */
+    private final Map<Channel, Open> open = new LinkedHashMap<>();
+    private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+    private final ArrayDeque<SipMessage> unsentReleases = new ArrayDeque<>();
+    private boolean connecting;
+    private boolean retrying;
+    private boolean closed;
+    private boolean tried;
+    private boolean told;
+    private long retry = RETRY;
+    private long branches;
+
+    /** What is known of one connection. */
+    private static final class Open {
+        final Map<String, Attempt> setUps = new LinkedHashMap<>();
+        long heardAt;
+        boolean silent;
+
+        Open(long now) {
+            heardAt = now;
+        }
+    }
+
+    Link(Loop loop, long number, InetSocketAddress endpoint, long connectTimeout, Consumer<Event> events,
+            Metrics metrics) {
+        this.loop = loop;
+        this.number = number;
+        this.endpoint = endpoint;
+        this.connectTimeout = connectTimeout;
+        this.events = events;
+        this.metrics = metrics;
+    }
+
+    void listed(Listing listing) {
+        endpoint = listing.endpoint();
+        readiness = listing.exchange().readiness();
+        if (open.isEmpty()) {
+            connect();
+        }
+    }
+
+    boolean settled() {
+        return told || tried;
+    }
+
+    void close(CloseReason reason) {
+        closed = true;
+        failWaiting();
+        List.copyOf(open.keySet()).forEach(channel -> MessageHandler.close(channel, reason));
+    }
+
+    void closeIdle() {
+        open.entrySet().stream().filter(e -> e.getValue().setUps.isEmpty()).skip(1).map(Map.Entry::getKey).toList()
+                .forEach(channel -> MessageHandler.close(channel, CloseReason.SILENT));
+    }
+
+    // From the planner.
+
+    void invite(Attempt attempt) {
+        Channel channel = best();
+        if (channel != null) {
+            send(channel, attempt);
+        } else if (closed || waiting.size() >= MOST_WAITING) {
+            events.accept(new Event.Broken(attempt, Status.CONNECT_FAILED));
+        } else {
+            waiting.add(attempt);
+            connect();
+        }
+    }
+
+    private void send(Channel channel, Attempt attempt) {
+        open.get(channel).setUps.put(attempt.request().id(), attempt);
+        long left = (attempt.deadline() - loop.now()) / 1_000;
+        metrics.count("sent.INVITE");
+        write(channel, request("INVITE", attempt).with("X-Tier", attempt.request().className())
+                .with("X-Deadline", Long.toString(Math.max(1, left)))
+                .withBody(attempt.request().description()));
+    }
+
+    private SipMessage request(String method, Attempt attempt) {
+        return dialog(method, attempt.request().number(), attempt.request().id(), attempt.index() + 1L, branch(attempt));
+    }
+
+    private static String branch(Attempt attempt) {
+        return "z9hG4bK" + attempt.request().id() + "-" + attempt.index();
+    }
+
+    private static SipMessage dialog(String method, String called, String call, long cseq, String branch) {
+        return SipMessage.request(method, "sip:" + called + "@net")
+                .with("Via", "SIP/2.0/TCP wingspread;branch=" + branch)
+                .with("Max-Forwards", "70")
+                .with("From", "<sip:wingspread@net>;tag=" + call)
+                .with("To", "<sip:" + called + "@net>")
+                .with("Call-ID", call)
+                .with("CSeq", cseq + " " + method);
+    }
+
+    void withdraw(Attempt attempt) {
+        if (waiting.remove(attempt)) {
+            return;
+        }
+        for (Map.Entry<Channel, Open> entry : open.entrySet()) {
+            Open connection = entry.getValue();
+            if (connection.setUps.remove(attempt.request().id(), attempt)) {
+                metrics.count("sent.CANCEL");
+                write(entry.getKey(), request("CANCEL", attempt));
+                replaceIfSilent(connection, attempt);
+                return;
+            }
+        }
+    }
+
+    /**
+     * Guards against a machine that vanished: its connections stay open and silent for ever. Where nothing
+     * has come since a set-up was sent and its time is over, another connection is tried beside the old one.
+     */
+    private void replaceIfSilent(Open connection, Attempt attempt) {
+        if (loop.now() >= attempt.deadline() && connection.heardAt < attempt.deadline() - connectTimeout) {
+            connection.silent = true;
+            if (best() == null && open.size() < MOST_CONNECTIONS) {
+                connect();
+            }
+        }
+    }
+
+    /** Releases a call; guards against a lost release, which would hold circuits: it waits for a connection. */
+    void release(String call, int cause) {
+        SipMessage bye = dialog("BYE", "call", call, 1_000, "z9hG4bK" + call + "-bye" + branches++)
+                .with("Reason", "Q.850;cause=" + cause);
+        metrics.count("sent.BYE");
+        Channel channel = anyOpen();
+        if (channel != null) {
+            write(channel, bye);
+        } else if (!closed && unsentReleases.size() < MOST_RELEASES) {
+            unsentReleases.add(bye);
+            connect();
+        }
+    }
+
+    // Connections.
+
+    /** The newest connection that is not silent, or null. */
+    private Channel best() {
+        Channel best = null;
+        for (Map.Entry<Channel, Open> entry : open.entrySet()) {
+            if (!entry.getValue().silent && entry.getKey().isActive()) {
+                best = entry.getKey();
+            }
+        }
+        return best;
+    }
+
+    private Channel anyOpen() {
+        Channel best = best();
+        if (best != null) {
+            return best;
+        }
+        return open.keySet().stream().filter(Channel::isActive).findFirst().orElse(null);
+    }
+
+    private void connect() {
+        if (connecting || closed || open.size() >= MOST_CONNECTIONS) {
+            return;
+        }
+        connecting = true;
+        new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000))
+                .handler(new ChannelInitializer<NioSocketChannel>() {
+                    @Override
+                    protected void initChannel(NioSocketChannel channel) {
+                        channel.pipeline().addLast(new MessageHandler<>("exchange " + number, new SipDecoder(),
+                                Link.this));
+                    }
+                })
+                .connect(endpoint)
+                .addListener((ChannelFuture f) -> connected(f));
+    }
+
+    private void connected(ChannelFuture f) {
+        connecting = false;
+        if (!f.isSuccess()) {
+            tried = true;
+            boolean refused = f.cause() instanceof ConnectException
+                    && !(f.cause() instanceof io.netty.channel.ConnectTimeoutException);
+            LOG.info("exchange {} {} ended {}", number, endpoint,
+                    refused ? CloseReason.REFUSED : CloseReason.CONNECT_TIMEOUT);
+            failWaiting();
+            if (refused && open.isEmpty()) {
+                // A refused connection proves that the process is down: what stood through it is cut.
+                events.accept(new Event.Died(number));
+            }
+            retryLater();
+            return;
+        }
+        if (closed) {
+            f.channel().close();
+            return;
+        }
+        retry = RETRY;
+        for (Map.Entry<Channel, Open> old : List.copyOf(open.entrySet())) {
+            if (old.getValue().silent) {
+                MessageHandler.close(old.getKey(), CloseReason.SILENT);
+            }
+        }
+        open.put(f.channel(), new Open(loop.now()));
+        while (!unsentReleases.isEmpty()) {
+            write(f.channel(), unsentReleases.remove());
+        }
+        while (!waiting.isEmpty()) {
+            Attempt attempt = waiting.remove();
+            // Guards the drain rule: the list may have changed while the connection was coming up.
+            if (readiness != Readiness.READY) {
+                events.accept(new Event.Broken(attempt, Status.CONNECT_FAILED));
+            } else if (attempt.out()) {
+                send(f.channel(), attempt);
+            }
+        }
+    }
+
+    private void failWaiting() {
+        while (!waiting.isEmpty()) {
+            events.accept(new Event.Broken(waiting.remove(), Status.CONNECT_FAILED));
+        }
+    }
+
+    private void retryLater() {
+        if (retrying || closed) {
+            return;
+        }
+        retrying = true;
+        loop.at(loop.now() + retry, () -> {
+            retrying = false;
+            if (best() == null) {
+                connect();
+            }
+        });
+        retry = Math.min(2 * retry, RETRY_MAX);
+    }
+
+    private void write(Channel channel, SipMessage message) {
+        MessageHandler.write(channel, message.encode());
+        loop.touch(channel);
+    }
+
+    @Override
+    public void ended(Channel channel, CloseReason reason) {
+        Open connection = open.remove(channel);
+        if (connection == null) {
+            return;
+        }
+        for (Attempt attempt : new ArrayList<>(connection.setUps.values())) {
+            events.accept(new Event.Broken(attempt, Status.RESET));
+        }
+        if (open.isEmpty()) {
+            connect();
+        }
+    }
+
+    // From the exchange.
+
+    @Override
+    public void received(Channel channel, SipMessage message) {
+        Open connection = open.get(channel);
+        if (connection == null) {
+            return;
+        }
+        connection.heardAt = loop.now();
+        connection.silent = false;
+        if (!message.isRequest()) {
+            response(channel, connection, message);
+            return;
+        }
+        Report report = Gauges.parse(message.header("X-Gauges"));
+        switch (message.method()) {
+            case "NOTIFY" -> {
+                told = true;
+                events.accept(new Event.Reported(number, report));
+            }
+            case "BYE" -> {
+                write(channel, message.reply(200, "OK"));
+                events.accept(new Event.Released(number, message.callId(), cause(message), report));
+            }
+            case "ACK" -> { }
+            default -> write(channel, message.reply(405, "Method Not Allowed"));
+        }
+    }
+
+    private static int cause(SipMessage message) {
+        String cause = SipMessage.parameter(message.header("Reason"), "cause");
+        return cause == null ? 16 : (int) Math.max(0, SipMessage.number(cause));
+    }
+
+    private void response(Channel channel, Open connection, SipMessage message) {
+        if (!message.cseqMethod().equals("INVITE") || message.status() < 200) {
+            return;
+        }
+        String call = message.callId();
+        Attempt attempt = connection.setUps.remove(call);
+        int index = (int) message.cseq() - 1;
+        metrics.count("taken." + message.status());
+        String called = attempt == null ? "call" : attempt.request().number();
+        SipMessage ack = dialog("ACK", called, call, message.cseq(),
+                attempt == null ? "z9hG4bK" + call + "-ack" + branches++ : branch(attempt));
+        write(channel, ack);
+        if (message.status() < 300) {
+            events.accept(new Event.Answered(number, call, index, message.body()));
+        } else {
+            events.accept(new Event.Rejected(number, call, index, status(message.status()),
+                    cause(message.header("X-Outcome")), Gauges.parse(message.header("X-Gauges"))));
+        }
+    }
+
+    private static Status status(int code) {
+        return switch (code) {
+            case 503 -> Status.FULL;
+            case 480 -> Status.MOOT;
+            case 504 -> Status.RESET;
+            case 487 -> Status.CANCELLED;
+            default -> Status.ERROR;
+        };
+    }
+
+    private static Cause cause(String note) {
+        return switch (note) {
+            case "blocked" -> Cause.NO_CIRCUIT;
+            case "bounced" -> Cause.TANDEM_BLOCKED;
+            case "far_swamped" -> Cause.BEYOND_FULL;
+            case "swamped" -> Cause.PROCESSOR_FULL;
+            case "occupied" -> Cause.LINES_BUSY;
+            default -> Cause.NONE;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -0,0 +1,113 @@
+package wingspread.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
+import java.util.Arrays;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One stream connection: cuts its bytes into messages, bounds both directions and logs its end once. */
+public final class MessageHandler<M> extends ChannelInboundHandlerAdapter {
+    /** Unsent bytes at which a connection whose other side does not read is given up. */
+    private static final long MOST_UNSENT = 1 << 20;
+    private static final Logger LOG = LoggerFactory.getLogger("connection");
+
+    /** Whom the messages and the end of a connection concern. */
+    public interface Owner<M> {
+        /** A whole message; an owner may find it malformed too. */
+        void received(Channel channel, M message) throws BadInput;
+
+        /** The connection has ended. */
+        void ended(Channel channel, CloseReason reason);
+    }
+
+    private final String kind;
+    private final FrameDecoder<M> decoder;
+    private final Owner<M> owner;
+    private byte[] bytes = new byte[1024];
+    private int from;
+    private int to;
+    private CloseReason reason = CloseReason.PEER_CLOSED;
+    private String detail = "";
+
+    public MessageHandler(String kind, FrameDecoder<M> decoder, Owner<M> owner) {
+        this.kind = kind;
+        this.decoder = decoder;
+        this.owner = owner;
+    }
+
+    /** Closes a connection for a reason of ours. */
+    public static void close(Channel channel, CloseReason reason) {
+        MessageHandler<?> handler = channel.pipeline().get(MessageHandler.class);
+        if (handler != null && channel.isActive()) {
+            handler.reason = reason;
+        }
+        channel.close();
+    }
+
+    /** Writes without a flush; gives up a connection whose other side does not read. */
+    public static void write(Channel channel, ByteBuf message) {
+        channel.write(message, channel.voidPromise());
+        // Guards against a reader that has stopped: without a bound its unsent bytes would fill the memory.
+        if (channel.unsafe().outboundBuffer() != null
+                && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > MOST_UNSENT) {
+            close(channel, CloseReason.BACKLOG);
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object in) {
+        ByteBuf buf = (ByteBuf) in;
+        try {
+            take(buf);
+        } finally {
+            buf.release();
+        }
+        try {
+            while (ctx.channel().isActive()) {
+                FrameDecoder.Step<M> step = decoder.next(bytes, from, to);
+                from += step.used();
+                if (step.message() == null) {
+                    return;
+                }
+                owner.received(ctx.channel(), step.message());
+            }
+        } catch (BadInput e) {
+            detail = " (" + e.getMessage() + ")";
+            close(ctx.channel(), CloseReason.BAD_INPUT);
+        }
+    }
+
+    private void take(ByteBuf buf) {
+        int n = buf.readableBytes();
+        if (to + n > bytes.length) {
+            byte[] target = to - from + n > bytes.length ? new byte[Integer.highestOneBit(to - from + n) * 2] : bytes;
+            System.arraycopy(bytes, from, target, 0, to - from);
+            bytes = target;
+            to -= from;
+            from = 0;
+        }
+        buf.readBytes(bytes, to, n);
+        to += n;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        LOG.info("{} {} ended {}{}", kind, ctx.channel().remoteAddress(), reason, detail);
+        bytes = Arrays.copyOf(bytes, 0);
+        from = 0;
+        to = 0;
+        owner.ended(ctx.channel(), reason);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOG.error("{} {} failed", kind, ctx.channel().remoteAddress(), cause);
+        }
+        close(ctx.channel(), CloseReason.RESET);
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/sip/SipDecoder.java
@@ -0,0 +1,125 @@
+package wingspread.sip;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import wingspread.net.BadInput;
+import wingspread.net.FrameDecoder;
+import wingspread.sip.SipMessage.Header;
+
+/** Cuts SIP messages out of a stream, by their Content-Length, and reads them out of datagrams. */
+public final class SipDecoder implements FrameDecoder<SipMessage> {
+    private static final int MOST_HEADERS = 100;
+
+    @Override
+    public Step<SipMessage> next(byte[] bytes, int from, int to) throws BadInput {
+        int start = from;
+        while (start < to && (bytes[start] == '\r' || bytes[start] == '\n')) {
+            start++;
+        }
+        int head = headEnd(bytes, start, to);
+        if (head < 0) {
+            // Guards against a head without an end, which would be kept for ever.
+            if (to - start > MAX_FRAME) {
+                throw new BadInput("SIP: a message of over " + MAX_FRAME + " bytes");
+            }
+            return new Step<>(null, start - from);
+        }
+        SipMessage message = head(bytes, start, head);
+        long length = length(message);
+        if (length < 0) {
+            throw new BadInput("SIP: no Content-Length that can be read");
+        }
+        if (head - start + length > MAX_FRAME) {
+            throw new BadInput("SIP: a message of over " + MAX_FRAME + " bytes");
+        }
+        int end = head + (int) length;
+        if (to < end) {
+            return new Step<>(null, start - from);
+        }
+        return new Step<>(message.withBody(Arrays.copyOfRange(bytes, head, end)), end - from);
+    }
+
+    /** The one message of a datagram; without a Content-Length its body is all that follows the head. */
+    public static SipMessage datagram(byte[] bytes) throws BadInput {
+        int head = headEnd(bytes, 0, bytes.length);
+        if (head < 0) {
+            throw new BadInput("SIP: a datagram without a whole head");
+        }
+        SipMessage message = head(bytes, 0, head);
+        long length = message.header("Content-Length").isEmpty() ? bytes.length - head : length(message);
+        if (length < 0 || length > bytes.length - head) {
+            throw new BadInput("SIP: a Content-Length that the datagram does not hold");
+        }
+        return message.withBody(Arrays.copyOfRange(bytes, head, head + (int) length));
+    }
+
+    /** Guards against two lengths that differ, which the two ends of a connection would read apart. */
+    private static long length(SipMessage message) throws BadInput {
+        long found = -1;
+        for (Header header : message.headers()) {
+            String name = header.name().toLowerCase(Locale.ROOT);
+            if (name.equals("content-length") || name.equals("l")) {
+                long value = SipMessage.number(header.value());
+                if (value < 0 || found >= 0 && found != value) {
+                    throw new BadInput("SIP: a bad Content-Length");
+                }
+                found = value;
+            }
+        }
+        return found;
+    }
+
+    /** Where the body starts, or -1. */
+    private static int headEnd(byte[] bytes, int from, int to) {
+        for (int i = from; i + 3 < to; i++) {
+            if (bytes[i] == '\r' && bytes[i + 1] == '\n' && bytes[i + 2] == '\r' && bytes[i + 3] == '\n') {
+                return i + 4;
+            }
+        }
+        return -1;
+    }
+
+    private static SipMessage head(byte[] bytes, int from, int to) throws BadInput {
+        String[] lines = new String(bytes, from, to - from - 4, StandardCharsets.ISO_8859_1).split("\r\n");
+        SipMessage first = firstLine(lines[0]);
+        if (lines.length > MOST_HEADERS) {
+            throw new BadInput("SIP: over " + MOST_HEADERS + " headers");
+        }
+        List<Header> headers = new ArrayList<>(lines.length);
+        for (int i = 1; i < lines.length; i++) {
+            String line = lines[i];
+            if (line.startsWith(" ") || line.startsWith("\t")) {
+                if (headers.isEmpty()) {
+                    throw new BadInput("SIP: a folded line without a header");
+                }
+                Header last = headers.remove(headers.size() - 1);
+                headers.add(new Header(last.name(), last.value() + " " + line.strip()));
+                continue;
+            }
+            int colon = line.indexOf(':');
+            if (colon < 1 || line.substring(0, colon).isBlank()) {
+                throw new BadInput("SIP: a header line without a name");
+            }
+            headers.add(new Header(line.substring(0, colon).strip(), line.substring(colon + 1).strip()));
+        }
+        return new SipMessage(first.method(), first.uri(), first.status(), first.reason(), headers, first.body());
+    }
+
+    private static SipMessage firstLine(String line) throws BadInput {
+        if (line.startsWith("SIP/2.0 ")) {
+            long status = line.length() < 11 ? -1 : SipMessage.number(line.substring(8, 11));
+            if (status < 100 || status > 699) {
+                throw new BadInput("SIP: a status line without a status");
+            }
+            return SipMessage.response((int) status, line.substring(Math.min(12, line.length())));
+        }
+        String[] parts = line.split(" ");
+        if (parts.length != 3 || !parts[2].equals("SIP/2.0") || parts[0].isEmpty() || parts[1].isEmpty()) {
+            throw new BadInput("SIP: a first line that is neither request nor response");
+        }
+        return SipMessage.request(parts[0], parts[1]);
+    }
+}
--- a/src/main/java/wingspread/wirehost/Instances.java
+++ b/src/main/java/wingspread/wirehost/Instances.java
@@ -9,6 +9,7 @@
 import wingspread.control.CallControl.Readiness;
 import wingspread.control.CallControl.Report;
 import wingspread.control.CallControl.Status;
+import wingspread.config.SettingsParser;
 import wingspread.control.WindowControl;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/wingspread/wirehost/Main.java
+++ b/src/main/java/wingspread/wirehost/WireHost.java
@@ -1,5 +1,6 @@
 package wingspread.wirehost;
 
+import wingspread.config.ConfigException;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
@@ -12,31 +13,21 @@
 import java.io.PrintStream;
 
 /** Plays the decision module over the bench's wire, on standard input and output. */
-public final class Main {
+public final class WireHost {
     private static final int BUFFER = 1 << 16;
     private static final int LENGTH_BYTES = 4;
     private static final int SHORTEST_FRAME = 12;
 
-    private Main() { }
+    private WireHost() { }
 
-    /**
-     * Runs the adapter.
-     *
-     * @param args the one word {@code wirehost}
-     */
-    public static void main(String[] args) {
+    /** Plays standard input to standard output; returns the exit code. */
+    public static int run() {
         OutputStream wire = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), BUFFER);
-        System.exit(run(args, System.in, wire, System.err));
+        return run(System.in, wire, System.err);
     }
 
-    /**
-     * Returns the exit code: 0 at a clean end of input, 1 on input it cannot read, 2 on a wrong command line.
-     */
-    static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            err.println("usage: java -jar wingspread.jar wirehost");
-            return 2;
-        }
+    /** Returns the exit code: 0 at a clean end of input, 1 on input it cannot read. */
+    static int run(InputStream in, OutputStream out, PrintStream err) {
         long frames = 0;
         try {
             DataInputStream data = new DataInputStream(new BufferedInputStream(in, BUFFER));
@@ -48,7 +39,7 @@
                 reply.flushTo(out);
             }
             return 0;
-        } catch (WireException | IOException e) {
+        } catch (WireException | ConfigException | IOException e) {
             err.println("wingspread: after " + frames + " frames: " + e.getMessage());
             return 1;
         }
--- a/src/test/java/wingspread/wirehost/WireTest.java
+++ b/src/test/java/wingspread/wirehost/WireTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import wingspread.config.SettingsParser;
 import wingspread.control.CallControl.Layout;
 import wingspread.control.CallControl.Settings;
 import java.io.ByteArrayInputStream;
@@ -52,17 +53,17 @@
                 + HexFormat.of().formatHex(text);
     }
 
-    private static Run run(String hex, String... args) {
+    private static Run run(String hex) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int code = Main.run(args, new ByteArrayInputStream(HexFormat.of().parseHex(hex)), out,
+        int code = WireHost.run(new ByteArrayInputStream(HexFormat.of().parseHex(hex)), out,
                 new PrintStream(err, true, StandardCharsets.UTF_8));
         return new Run(code, HexFormat.of().formatHex(out.toByteArray()),
                 err.toString(StandardCharsets.UTF_8));
     }
 
     private static Run play(String... frames) {
-        return run(String.join("", frames), "wirehost");
+        return run(String.join("", frames));
     }
 
     private static void assertComplaint(Run run, String word) {
@@ -165,10 +166,4 @@
         assertTrue(run.out().startsWith("00000002"), run.out());
         assertTrue(run.out().contains("0c00000003" + "09"), run.out());
     }
-
-    @Test
-    void aWrongCommandLineGetsAUsageLine() {
-        assertEquals(2, run("").code());
-        assertTrue(run("", "simulate").err().startsWith("usage:"));
-    }
 }
