Pair answers with attempts by Call-ID alone, not by the CSeq's number

Counters: of 4757 answers 204 were released as crossing, of 6829 set-ups 354 timed out. A trace of 600 ms showed calls whose second attempt was answered 40 ms after it was sent and which still timed out: exchanges answer with 'CSeq: 1 INVITE' whatever was sent, and Planner.attempt(exchange, id, index) took the answer for one to the first attempt, released the call and let the second time out, which cut the window until the exchange was gapped. PlannerTest shows both and the other crossings.

--- a/src/main/java/wingspread/core/Event.java
+++ b/src/main/java/wingspread/core/Event.java
@@ -15,11 +15,11 @@
     /** A caller gave its set-up up, or released its call. */
     record CallerEnded(String call, int cause) implements Event { }
 
-    /** An exchange says that the call stands; {@code index} is the attempt's, or -1 where it is not told. */
-    record Answered(long exchange, String call, int index, byte[] description) implements Event { }
+    /** An exchange says that the call stands. */
+    record Answered(long exchange, String call, byte[] description) implements Event { }
 
     /** An exchange turned a set-up away. */
-    record Rejected(long exchange, String call, int index, Status status, Cause cause, Report report)
+    record Rejected(long exchange, String call, Status status, Cause cause, Report report)
             implements Event { }
 
     /** An exchange released a call that stood. */
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -150,7 +150,7 @@
         } else if (event instanceof Event.Answered e) {
             answered(now, e);
         } else if (event instanceof Event.Rejected e) {
-            Attempt attempt = attempt(e.exchange(), e.call(), e.index());
+            Attempt attempt = attempt(e.exchange(), e.call());
             if (attempt != null && attempt.out()) {
                 ended(now, attempt, e.status(), e.cause(), e.report());
             }
@@ -185,7 +185,7 @@
         Held held = new Held(request, caller, nextCall++);
         byId.put(request.id(), held);
         byNumber.put(held.number, held);
-        due(request.deadline(), () -> overdue(held));
+        due(request.deadline(), () -> actions.add(() -> overdue(held)));
         control.onCall(now, new CallControl.Call(held.number, request.callClass(), number(request.number()),
                 request.deadline(), request.destination(), request.width(), request.via(), request.redial(),
                 request.transit(), request.cut()));
@@ -199,7 +199,10 @@
         }
     }
 
-    /** Guards against a module that lets a caller's time run out: the answer owed is given all the same. */
+    /**
+     * Guards against a module that lets a caller's time run out: the answer owed is given all the same, after
+     * what the module has already asked for.
+     */
     private void overdue(Held held) {
         if (!held.answered) {
             LOG.warn("call {} came to its deadline unanswered", held.request.id());
@@ -228,7 +231,7 @@
     }
 
     private void answered(long now, Event.Answered e) {
-        Attempt attempt = attempt(e.exchange(), e.call(), e.index());
+        Attempt attempt = attempt(e.exchange(), e.call());
         if (attempt != null && attempt.standing()) {
             return;
         }
@@ -250,7 +253,7 @@
 
     private void released(long now, Event.Released e) {
         Held held = byId.get(e.call());
-        Attempt attempt = attempt(e.exchange(), e.call(), -1);
+        Attempt attempt = attempt(e.exchange(), e.call());
         if (attempt != null && attempt.standing()) {
             finish(now, held, e.cause() == NORMAL ? Status.OK : Status.RESET, e.report(), e.cause());
         } else if (attempt != null && attempt.out()) {
@@ -305,15 +308,14 @@
                 now - attempt.sentAt(), status, cause, 0, report));
     }
 
-    private Attempt attempt(long exchange, String id, int index) {
+    /**
+     * The attempt that a message of an exchange is about: the call's last, if it went there. Guards against
+     * pairing by the number of the CSeq, which exchanges do not give back: an answer to a second attempt was
+     * taken for one to the first, and its call released.
+     */
+    private Attempt attempt(long exchange, String id) {
         Held held = byId.get(id);
-        if (held == null) {
-            return null;
-        }
-        if (index >= 0 && index < held.attempts.size() && held.attempts.get(index).exchange() == exchange) {
-            return held.attempts.get(index);
-        }
-        Attempt last = held.last();
+        Attempt last = held == null ? null : held.last();
         return last != null && last.exchange() == exchange ? last : null;
     }
 
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -348,16 +348,15 @@
         }
         String call = message.callId();
         Attempt attempt = connection.setUps.remove(call);
-        int index = (int) message.cseq() - 1;
         metrics.count("taken." + message.status());
         String called = attempt == null ? "call" : attempt.request().number();
         SipMessage ack = dialog("ACK", called, call, message.cseq(),
                 attempt == null ? "z9hG4bK" + call + "-ack" + branches++ : branch(attempt));
         write(channel, ack);
         if (message.status() < 300) {
-            events.accept(new Event.Answered(number, call, index, message.body()));
+            events.accept(new Event.Answered(number, call, message.body()));
         } else {
-            events.accept(new Event.Rejected(number, call, index, status(message.status()),
+            events.accept(new Event.Rejected(number, call, status(message.status()),
                     cause(message.header("X-Outcome")), Gauges.parse(message.header("X-Gauges"))));
         }
     }
--- /dev/null
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -0,0 +1,217 @@
+package wingspread.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import wingspread.control.CallControl.CallClass;
+import wingspread.control.CallControl.Cause;
+import wingspread.control.CallControl.Effect;
+import wingspread.control.CallControl.Exchange;
+import wingspread.control.CallControl.Layout;
+import wingspread.control.CallControl.ListKind;
+import wingspread.control.CallControl.Obligations;
+import wingspread.control.CallControl.Readiness;
+import wingspread.control.CallControl.RepeatGroup;
+import wingspread.control.CallControl.Report;
+import wingspread.control.CallControl.Reports;
+import wingspread.control.CallControl.Settings;
+import wingspread.control.CallControl.Status;
+import wingspread.net.Metrics;
+
+/** A planner between a recording caller and a recording exchange, on a clock that the test moves. */
+class PlannerTest {
+    private static final long AIM = 1_500_000;
+    private static final long LEFT = 3_000_000;
+    private static final byte[] DESCRIPTION = {'v', '=', '0', '\r', '\n', (byte) 0xe9};
+
+    private final List<String> said = new ArrayList<>();
+    private long now = 1_000_000_000;
+    private Planner planner;
+
+    private final class Wire implements Exchanges, Caller {
+        @Override
+        public void invite(Attempt attempt) {
+            said.add("invite " + attempt.request().id() + " " + attempt.exchange());
+        }
+
+        @Override
+        public void withdraw(Attempt attempt) {
+            said.add("withdraw " + attempt.request().id());
+        }
+
+        @Override
+        public void release(long exchange, String call, int cause) {
+            said.add("release " + call + " " + cause);
+        }
+
+        @Override
+        public void closeIdle(long exchange) {
+            said.add("close " + exchange);
+        }
+
+        @Override
+        public void stands(byte[] description) {
+            said.add("stands " + description.length);
+        }
+
+        @Override
+        public void refused(long wait) {
+            said.add("refused");
+        }
+
+        @Override
+        public void failed() {
+            said.add("failed");
+        }
+
+        @Override
+        public void over(int cause) {
+            said.add("over " + cause);
+        }
+    }
+
+    private final Wire wire = new Wire();
+
+    @BeforeEach
+    void twoExchanges() {
+        CallClass plain = new CallClass("plain", AIM, 9_000_000, 1, 0.1, 1, 10_000_000, Effect.SAFE,
+                RepeatGroup.ALL, 0, List.of());
+        Settings settings = new Settings(Layout.NETWORK, 0, 0, 0, 3, List.of(plain), false, Reports.PIGGYBACK,
+                false, false, true, false, false, true, 2_000_000, 6, 200_000, 0,
+                new Obligations(20_000, 500_000, 0, 0.3, 14_000_000, 2, 1_000_000));
+        planner = new Planner(() -> now, settings, 7, 3, wire, new Metrics());
+        planner.post(new Event.Listed(ListKind.CACHED, List.of(exchange(1, Readiness.READY, 0),
+                exchange(2, Readiness.READY, 0))));
+        planner.post(new Event.Reported(1, free(20)));
+        planner.post(new Event.Reported(2, free(20)));
+        planner.turn();
+    }
+
+    private static Exchange exchange(int place, Readiness readiness, long upSince) {
+        return new Exchange(place, 0, 0, place, readiness, 1, upSince);
+    }
+
+    private static Report free(double circuits) {
+        return new Report(circuits, 20, Double.NaN, 0, Double.NaN, Double.NaN, 100, Double.NaN);
+    }
+
+    private void play(Event event) {
+        planner.post(event);
+        planner.turn();
+    }
+
+    private void offer(String id) {
+        play(new Event.Offered(new Request(id, "plain", 0, "ab", DESCRIPTION, now + LEFT, 1, 1, -1, false, false,
+                false), wire));
+    }
+
+    private void pass(long time) {
+        now += time;
+        planner.turn();
+    }
+
+    private void heard(String... expected) {
+        assertEquals(List.of(expected), said);
+        said.clear();
+    }
+
+    @Test
+    void aCallStandsAndEnds() {
+        offer("a");
+        heard("invite a 1");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        heard("stands 6");
+        pass(LEFT);
+        heard();
+        play(new Event.Released(1, "a", 16, Report.NOTHING));
+        heard("over 16");
+        assertEquals(0, planner.unanswered());
+    }
+
+    @Test
+    void anAnswerToASecondAttemptAtTheSameExchangeStands() {
+        offer("a");
+        play(new Event.Rejected(1, "a", Status.ERROR, Cause.NONE, Report.NOTHING));
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        heard("invite a 1", "invite a 1", "stands 6");
+    }
+
+    @Test
+    void anAnswerThatCrossesTheTimeOutIsReleased() {
+        offer("a");
+        pass(AIM);
+        heard("invite a 1", "withdraw a", "refused");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        heard("release a 16");
+    }
+
+    @Test
+    void aCallerThatGivesUpGetsNoAnswerAndItsSetUpIsWithdrawn() {
+        offer("a");
+        play(new Event.CallerEnded("a", 16));
+        heard("invite a 1", "withdraw a");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        heard("release a 16");
+    }
+
+    @Test
+    void aCallerThatReleasesAStandingCallReleasesTheExchange() {
+        offer("a");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        play(new Event.CallerEnded("a", 31));
+        heard("invite a 1", "stands 6", "release a 31");
+        play(new Event.CallerEnded("a", 31));
+        play(new Event.CallerEnded("unknown", 16));
+        heard();
+    }
+
+    @Test
+    void aRepeatedSetUpStartsNoSecondAttempt() {
+        offer("a");
+        offer("a");
+        heard("invite a 1");
+    }
+
+    @Test
+    void callsBeyondTheBoundAreRefusedAtOnce() {
+        offer("a");
+        offer("b");
+        said.clear();
+        offer("c");
+        offer("d");
+        assertEquals("refused", said.get(said.size() - 1));
+    }
+
+    @Test
+    void aProcessThatDiesCutsWhatStoodThroughIt() {
+        offer("a");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        play(new Event.Died(2));
+        heard("invite a 1", "stands 6");
+        play(new Event.Died(1));
+        heard("over 41");
+    }
+
+    @Test
+    void aRestartCutsOnlyWhatWasSentBeforeIt() {
+        offer("a");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        said.clear();
+        play(new Event.Listed(ListKind.DELTA, List.of(exchange(1, Readiness.READY, now - 1))));
+        heard();
+        play(new Event.Listed(ListKind.DELTA, List.of(exchange(1, Readiness.READY, now + 1))));
+        heard("over 41");
+    }
+
+    @Test
+    void aLostConnectionEndsTheSetUpOnce() {
+        offer("a");
+        pass(LEFT);
+        said.clear();
+        play(new Event.Rejected(1, "a", Status.FULL, Cause.PROCESSOR_FULL, Report.NOTHING));
+        heard();
+    }
+}
