Add the SIP front: UDP and TCP, server transactions, dialogs, on the same core

The transactions of RFC 3261 (with RFC 6026's Accepted state) and dialogs are in package sip, without sockets and on an injected clock; front.sip turns an INVITE into a request and the planner's answer into one final answer. deploy/sip.toml says where it listens; it is off there. Found on the way: the loop asked for a further turn for each channel that a turn itself wrote to (Loop.touch); it no longer does. TLS and certificates are not there yet.

--- a/src/main/java/wingspread/Main.java
+++ b/src/main/java/wingspread/Main.java
@@ -1,9 +1,11 @@
 package wingspread;
 
+import java.nio.file.Path;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wingspread.config.ConfigException;
 import wingspread.config.NodeConfig;
+import wingspread.config.SipConfig;
 import wingspread.wirehost.WireHost;
 
 /** The program's two commands. */
@@ -11,6 +13,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Main.class);
     private static final String USAGE = "usage: java -jar wingspread.jar serve | wirehost";
 
+    private static final Path SIP_FILE = Path.of("deploy/sip.toml");
+
     private Main() { }
 
     /**
@@ -33,7 +37,7 @@
                 return WireHost.run();
             case "serve":
                 try {
-                    new Softswitch(NodeConfig.read(System.getenv())).start();
+                    new Softswitch(NodeConfig.read(System.getenv()), SipConfig.read(SIP_FILE)).start();
                     return -1;
                 } catch (ConfigException | ReflectiveOperationException e) {
                     LOG.error("wingspread: {}", e.getMessage());
--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -2,10 +2,12 @@
 
 import io.netty.channel.ChannelFuture;
 import java.util.List;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wingspread.config.NodeConfig;
 import wingspread.config.SettingsParser;
+import wingspread.config.SipConfig;
 import wingspread.control.CallControl.ListKind;
 import wingspread.core.Event;
 import wingspread.core.Planner;
@@ -38,10 +40,11 @@
     private final Links links;
     private final Directory directory;
     private final JsonlFront front;
+    private final Optional<SipService> sip;
     private final long startedAt;
     private boolean ending;
 
-    Softswitch(NodeConfig config) {
+    Softswitch(NodeConfig config, SipConfig sipConfig) {
         this.config = config;
         this.startedAt = loop.now();
         SettingsParser.Parsed settings = config.settings();
@@ -50,12 +53,15 @@
         this.directory = new Directory(loop, settings.zones(), settings.kinds(), config.seed(), this::told);
         this.front = new JsonlFront(loop, settings.settings().classes(),
                 (int) (config.sockets() * CALLERS_SHARE), this::post, this::ready, metrics);
+        this.sip = Optional.ofNullable(sipConfig).map(c -> new SipService(loop, c, settings.settings().classes(),
+                config.seed(), this::post, metrics));
         loop.serve(planner);
     }
 
     /** Starts to serve; returns at once. */
     void start() throws ReflectiveOperationException {
         loop.execute(() -> {
+            sip.ifPresent(SipService::listen);
             directory.known(config.known());
             if (config.names() != null) {
                 directory.follow(config.names());
@@ -108,6 +114,7 @@
             loop.at(loop.now() + LAST_WRITES, () -> {
                 links.close();
                 front.close();
+                sip.ifPresent(SipService::close);
                 LOG.info(metrics.toString());
                 System.exit(0);
             });
--- a/src/main/java/wingspread/net/Loop.java
+++ b/src/main/java/wingspread/net/Loop.java
@@ -5,7 +5,9 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -19,8 +21,9 @@
     private final NioEventLoop eventLoop = (NioEventLoop) group.next();
     private final LongSupplier clock;
     private final Set<Channel> touched = new LinkedHashSet<>();
-    private Worker worker;
+    private final List<Worker> workers = new ArrayList<>();
     private boolean turnAsked;
+    private boolean playing;
     private ScheduledFuture<?> alarm;
     private long alarmAt = Long.MAX_VALUE;
 
@@ -37,9 +40,9 @@
         return clock.getAsLong();
     }
 
-    /** Names the worker whose turns are played. */
-    public void serve(Worker newWorker) {
-        worker = newWorker;
+    /** Adds a worker; the turns of one iteration are played in the order of their adding. */
+    public void serve(Worker worker) {
+        workers.add(worker);
     }
 
     /** Runs a task on the loop. */
@@ -63,7 +66,9 @@
     /** A channel was written to; it is flushed after the turn. */
     public void touch(Channel channel) {
         touched.add(channel);
-        wantTurn();
+        if (!playing) {
+            wantTurn();
+        }
     }
 
     /** Ends the loop; what is written was flushed before. */
@@ -73,11 +78,14 @@
 
     private void play() {
         turnAsked = false;
-        worker.turn();
+        playing = true;
+        workers.forEach(Worker::turn);
+        playing = false;
         touched.forEach(Channel::flush);
         touched.clear();
-        long due = worker.nextDue();
-        if (due < alarmAt) {
+        long due = workers.stream().mapToLong(Worker::nextDue).min().orElse(Long.MAX_VALUE);
+        // A turn may ask for another: then that one sets the alarm.
+        if (due < alarmAt && !turnAsked) {
             if (alarm != null) {
                 alarm.cancel(false);
             }
--- a/src/main/java/wingspread/sip/SipDecoder.java
+++ b/src/main/java/wingspread/sip/SipDecoder.java
@@ -103,7 +103,12 @@
             if (colon < 1 || line.substring(0, colon).isBlank()) {
                 throw new BadInput("SIP: a header line without a name");
             }
-            headers.add(new Header(line.substring(0, colon).strip(), line.substring(colon + 1).strip()));
+            String name = line.substring(0, colon).strip();
+            boolean via = name.equalsIgnoreCase("Via") || name.equalsIgnoreCase("v");
+            // One line may hold several hops; each becomes a header, so that the first is the last hop's.
+            for (String value : via ? line.substring(colon + 1).split(",") : new String[] {line.substring(colon + 1)}) {
+                headers.add(new Header(name, value.strip()));
+            }
         }
         return new SipMessage(first.method(), first.uri(), first.status(), first.reason(), headers, first.body());
     }
