Obtain and renew the SIP front's TLS certificate by ACME

A new certificate serves new connections; open ones keep theirs, so that no call is dropped. Checked against a stand-in authority that verifies signatures, nonces and the http-01 answer: order, renewal, bad nonce, refused challenge, authority down, spoilt file, file modes; and TLS with a change of certificate under an open connection.

--- a/src/main/java/wingspread/config/SipConfig.java
+++ b/src/main/java/wingspread/config/SipConfig.java
@@ -17,7 +17,7 @@
         InetSocketAddress udp, InetSocketAddress tcp, InetSocketAddress tls, String callClass,
         Map<String, Integer> routes, Acme acme) {
 
-    /** Where the TLS certificate comes from; null in {@link SipConfig} where the operators lay it themselves. */
+    /** Where the TLS certificate comes from; needed for {@code tls} alone. */
     public record Acme(String directory, String domain, String contact, InetSocketAddress http, Path store) { }
 
     /**
@@ -84,8 +84,13 @@
                 routes.put(key.substring("routes.".length()), place(key, value));
             }
         });
-        return new SipConfig(address(pairs, "udp"), address(pairs, "tcp"), address(pairs, "tls"),
-                pairs.getOrDefault("class", ""), routes, acme(pairs));
+        Acme acme = acme(pairs);
+        InetSocketAddress tls = address(pairs, "tls");
+        if (tls != null && acme == null) {
+            throw new ConfigException("'tls' needs a certificate: 'acme.directory' is empty");
+        }
+        return new SipConfig(address(pairs, "udp"), address(pairs, "tcp"), tls, pairs.getOrDefault("class", ""),
+                routes, acme);
     }
 
     private static int place(String key, String value) {
--- /dev/null
+++ b/src/test/java/wingspread/SipServiceTest.java
@@ -0,0 +1,136 @@
+package wingspread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.math.BigInteger;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.security.KeyPair;
+import java.security.KeyPairGenerator;
+import java.security.SecureRandom;
+import java.security.cert.X509Certificate;
+import java.util.Date;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLSocket;
+import javax.net.ssl.TrustManager;
+import javax.net.ssl.X509TrustManager;
+import org.bouncycastle.asn1.x500.X500Name;
+import org.bouncycastle.asn1.x509.SubjectPublicKeyInfo;
+import org.bouncycastle.cert.X509v3CertificateBuilder;
+import org.bouncycastle.cert.jcajce.JcaX509CertificateConverter;
+import org.bouncycastle.operator.jcajce.JcaContentSignerBuilder;
+import org.junit.jupiter.api.Test;
+import wingspread.acme.Issued;
+import wingspread.config.SipConfig;
+import wingspread.control.CallControl.CallClass;
+import wingspread.control.CallControl.Effect;
+import wingspread.control.CallControl.RepeatGroup;
+import wingspread.net.Loop;
+import wingspread.net.Metrics;
+import wingspread.net.UnixClock;
+
+/** TLS on the SIP front, and a change of its certificate while a connection is open. */
+class SipServiceTest {
+    private static final CallClass PLAIN = new CallClass("plain", 1, 9_000_000, 1, 0, 1, 0, Effect.SAFE,
+            RepeatGroup.ALL, 0, List.of());
+
+    private static Issued certificate(String name) throws Exception {
+        KeyPair key = KeyPairGenerator.getInstance("EC").generateKeyPair();
+        X500Name subject = new X500Name("CN=" + name);
+        X509Certificate certificate = new JcaX509CertificateConverter().getCertificate(
+                new X509v3CertificateBuilder(subject, BigInteger.ONE, new Date(0), new Date(4_000_000_000_000L),
+                        subject, SubjectPublicKeyInfo.getInstance(key.getPublic().getEncoded()))
+                        .build(new JcaContentSignerBuilder("SHA256withECDSA").build(key.getPrivate())));
+        return new Issued(key.getPrivate(), List.of(certificate));
+    }
+
+    private static SSLSocket connect(InetSocketAddress address) throws Exception {
+        SSLContext context = SSLContext.getInstance("TLS");
+        context.init(null, new TrustManager[] {new X509TrustManager() {
+            @Override
+            public void checkClientTrusted(X509Certificate[] chain, String type) {
+                // Not asked on this side.
+            }
+
+            @Override
+            public void checkServerTrusted(X509Certificate[] chain, String type) {
+                // The test looks at the certificate itself.
+            }
+
+            @Override
+            public X509Certificate[] getAcceptedIssuers() {
+                return new X509Certificate[0];
+            }
+        }}, new SecureRandom());
+        SSLSocket socket = (SSLSocket) context.getSocketFactory().createSocket(address.getAddress(),
+                address.getPort());
+        socket.setSoTimeout(10_000);
+        return socket;
+    }
+
+    private static String options(SSLSocket socket, int branch) throws IOException {
+        socket.getOutputStream().write(("OPTIONS sip:ping@net SIP/2.0\r\nVia: SIP/2.0/TLS 127.0.0.1:9;branch=z9hG4bK"
+                + branch + "\r\nFrom: <sip:a@net>;tag=1\r\nTo: <sip:b@net>\r\nCall-ID: c" + branch
+                + "\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                StandardCharsets.ISO_8859_1));
+        String first = in.readLine();
+        String line = first;
+        while (!line.isEmpty()) {
+            line = in.readLine();
+        }
+        return first;
+    }
+
+    private static String subject(SSLSocket socket) throws IOException {
+        return ((X509Certificate) socket.getSession().getPeerCertificates()[0]).getSubjectX500Principal().getName();
+    }
+
+    @Test
+    void aNewCertificateServesNewConnectionsAndDropsNone() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+        Loop loop = new Loop(new UnixClock());
+        SipService service = new SipService(loop, new SipConfig(null, null, address, "", Map.of("", 1),
+                new SipConfig.Acme("http://127.0.0.1:1/", "sip.test", "", address, Path.of("unused"))),
+                List.of(PLAIN), 7, event -> { }, new Metrics());
+        secure(loop, service, certificate("first"));
+        try (SSLSocket old = connect(address)) {
+            assertEquals("SIP/2.0 200 OK", options(old, 1));
+            secure(loop, service, certificate("second"));
+            assertEquals("SIP/2.0 200 OK", options(old, 2));
+            assertEquals("CN=first", subject(old));
+            try (SSLSocket fresh = connect(address)) {
+                assertEquals("SIP/2.0 200 OK", options(fresh, 3));
+                assertEquals("CN=second", subject(fresh));
+            }
+            assertTrue(old.isConnected());
+        } finally {
+            loop.execute(service::close);
+            loop.stop();
+        }
+    }
+
+    /** Binding happens on the loop too, so that it is done when this returns. */
+    private static void secure(Loop loop, SipService service, Issued issued) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            service.secure(issued);
+            loop.execute(() -> done.complete(null));
+        });
+        done.get(10, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/src/test/java/wingspread/acme/CertificateKeeperTest.java
@@ -0,0 +1,150 @@
+package wingspread.acme;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wingspread.config.SipConfig;
+
+/** Obtaining and renewing against the stand-in authority, on a clock that the test moves. */
+class CertificateKeeperTest {
+    private static final Duration LIFE = Duration.ofDays(90);
+
+    @TempDir
+    Path folder;
+
+    private Instant now = Instant.parse("2026-06-01T00:00:00Z");
+    private final List<Issued> installed = new ArrayList<>();
+    private StandInAuthority authority;
+    private InetSocketAddress http;
+
+    @BeforeEach
+    void start() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            http = (InetSocketAddress) free.getLocalSocketAddress();
+        }
+        authority = new StandInAuthority(() -> now, LIFE, http.getPort());
+    }
+
+    @AfterEach
+    void stop() {
+        authority.close();
+    }
+
+    private CertificateKeeper keeper() {
+        CertificateStore store = new CertificateStore(folder.resolve("acme"));
+        return new CertificateKeeper(new AcmeAuthority(new SipConfig.Acme(authority.url("/directory"), "sip.test",
+                "", http, folder), store, () -> now, time -> now = time), store, () -> now, installed::add);
+    }
+
+    private void issuedAtLast() throws Exception {
+        installed.get(installed.size() - 1).chain().get(0).verify(authority.rootKey());
+    }
+
+    @Test
+    void aCertificateIsOrderedAndRenewedWithAThirdOfItsLifeLeft() throws Exception {
+        CertificateKeeper keeper = keeper();
+        Instant ordered = now;
+        assertEquals(ordered.plus(LIFE.dividedBy(3).multipliedBy(2)), keeper.tick());
+        assertEquals(List.of("order", "challenge met", "finalize"), authority.done);
+        issuedAtLast();
+        now = ordered.plus(Duration.ofDays(59));
+        keeper.tick();
+        assertEquals(1, installed.size());
+        now = ordered.plus(Duration.ofDays(61));
+        keeper.tick();
+        assertEquals(2, installed.size());
+        issuedAtLast();
+    }
+
+    @Test
+    void aRestartUsesTheSavedCertificateAndOrdersNone() {
+        keeper().tick();
+        keeper().tick();
+        assertEquals(2, installed.size());
+        assertEquals(installed.get(0), installed.get(1));
+        assertEquals(1, authority.done.stream().filter("order"::equals).count());
+    }
+
+    @Test
+    void aBadNonceIsTriedAgainWithAFreshOne() throws Exception {
+        authority.badNonces = 2;
+        keeper().tick();
+        assertEquals(2, authority.done.stream().filter("bad nonce"::equals).count());
+        issuedAtLast();
+    }
+
+    @Test
+    void aRefusedChallengeInstallsNothingAndIsTriedAgainLater() {
+        authority.refuseChallenge = true;
+        CertificateKeeper keeper = keeper();
+        Instant next = keeper.tick();
+        assertEquals(0, installed.size());
+        assertEquals(now.plus(Duration.ofMinutes(1)), next);
+        keeper.tick();
+        assertEquals(1, authority.done.stream().filter("order"::equals).count());
+        authority.refuseChallenge = false;
+        now = next;
+        keeper.tick();
+        assertEquals(1, installed.size());
+    }
+
+    @Test
+    void whileTheAuthorityIsDownTheOldCertificateStaysAndTriesGrowRarer() {
+        CertificateKeeper keeper = keeper();
+        now = keeper.tick();
+        authority.down = true;
+        List<Duration> gaps = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            Instant next = keeper.tick();
+            gaps.add(Duration.between(now, next));
+            now = next;
+        }
+        assertEquals(1, installed.size());
+        assertEquals(Duration.ofMinutes(2), gaps.get(1));
+        assertEquals(Duration.ofHours(6), gaps.get(9));
+        authority.down = false;
+        keeper.tick();
+        assertEquals(2, installed.size());
+    }
+
+    @Test
+    void keysAreForTheirOwnerAloneAndAreNotPrinted() throws IOException {
+        keeper().tick();
+        assertFalse(installed.get(0).toString().contains("PRIVATE"));
+        try (Stream<Path> files = Files.list(folder.resolve("acme"))) {
+            List<Path> all = files.toList();
+            assertEquals(2, all.size());
+            for (Path file : all) {
+                assertEquals("rw-------", PosixFilePermissions.toString(Files.getPosixFilePermissions(file)));
+            }
+        }
+        assertEquals("rwx------", PosixFilePermissions.toString(
+                Files.getPosixFilePermissions(folder.resolve("acme"))));
+    }
+
+    @Test
+    void aSpoiltFileIsReplaced() throws Exception {
+        Files.createDirectories(folder.resolve("acme"));
+        Files.writeString(folder.resolve("acme").resolve("certificate.pem"), "garbage");
+        keeper().tick();
+        issuedAtLast();
+        assertTrue(Files.readString(folder.resolve("acme").resolve("certificate.pem")).contains("BEGIN CERTIFICATE"));
+    }
+}
