--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -31,6 +31,8 @@
     /** After SIGTERM: requests come in for so long, and an end is looked for so often. */
     private static final long STILL_COMING = 700_000;
     private static final long LOOK_EVERY = 20_000;
+    /** Calls that stand may run on for so long beyond that, before they are released. */
+    private static final long RUN_ON = 1_000_000;
     private static final long LAST_WRITES = 50_000;
 
     private final NodeConfig config;
@@ -104,7 +106,8 @@
 
     private void endAfter(long earliest) {
         loop.at(loop.now() + LOOK_EVERY, () -> {
-            if (loop.now() < earliest || planner.unanswered() > 0) {
+            boolean runsOn = loop.now() < earliest + RUN_ON && planner.standing() > 0;
+            if (loop.now() < earliest || planner.unanswered() > 0 || runsOn) {
                 endAfter(earliest);
                 return;
             }
--- a/src/main/java/wingspread/control/WindowControl.java
+++ b/src/main/java/wingspread/control/WindowControl.java
@@ -440,9 +440,9 @@
     }
 
     /**
-     * Holds a blocked call at source while it can still stand within its aim. Guards against redials, which
-     * come when the aim is past, cost the processor another look and take circuits for little worth. May hurt
-     * where nothing comes free for long: the refusal is later, not the loss greater.
+     * Queues a blocked call at source for room that comes free, while it can still stand within its aim; one
+     * that is given up is answered at once. Guards against calls refused a moment before a circuit clears.
+     * May hurt where nothing comes free for long: the refusal is later, not the loss greater.
      */
     private void holdOrRefuse(long now, Held held) {
         if (now >= held.holdUntil || held.directTried) {
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -37,6 +37,8 @@
     public static final int CUT = 41;
     private static final Logger LOG = LoggerFactory.getLogger(Planner.class);
     private static final long NO_NUMBER = 0;
+    /** Bytes of descriptions that are kept at a time, a share of the heap. */
+    private static final long MOST_DESCRIPTIONS = 16 << 20;
 
     private final LongSupplier clock;
     private final Settings settings;
@@ -53,6 +55,7 @@
     private final Set<Long> listed = new HashSet<>();
     private final Map<Long, Long> started = new HashMap<>();
     private long nextCall = 1;
+    private long descriptions;
     private long order;
 
     /** A call from its coming in until nothing of it is awaited. */
@@ -126,6 +129,11 @@
         return byId.values().stream().filter(held -> !held.answered).count();
     }
 
+    /** Calls that stand. */
+    public long standing() {
+        return byId.values().stream().filter(Held::standing).count();
+    }
+
     /** Releases every standing call on both sides; for the end of the program. */
     public void releaseAll() {
         for (Held held : List.copyOf(byId.values())) {
@@ -177,7 +185,7 @@
             return;
         }
         // Guards against more calls than the memory can hold: refused before the module hears of them.
-        if (byId.size() >= mostCalls) {
+        if (byId.size() >= mostCalls || descriptions + request.description().length > MOST_DESCRIPTIONS) {
             metrics.count("answered.overfull");
             caller.refused(settings.maxRetryAfter());
             return;
@@ -185,6 +193,7 @@
         Held held = new Held(request, caller, nextCall++);
         byId.put(request.id(), held);
         byNumber.put(held.number, held);
+        descriptions += request.description().length;
         due(request.deadline(), () -> actions.add(() -> overdue(held)));
         control.onCall(now, new CallControl.Call(held.number, request.callClass(), number(request.number()),
                 request.deadline(), request.destination(), request.width(), request.via(), request.redial(),
@@ -322,7 +331,9 @@
     private void forgetIfDone(Held held) {
         if (held.answered && !held.out() && !held.standing()) {
             byId.remove(held.request.id());
-            byNumber.remove(held.number);
+            if (byNumber.remove(held.number) != null) {
+                descriptions -= held.request.description().length;
+            }
         }
     }
 
--- a/src/main/java/wingspread/directory/Directory.java
+++ b/src/main/java/wingspread/directory/Directory.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
@@ -24,6 +25,7 @@
 import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import wingspread.config.NodeConfig;
 import wingspread.control.CallControl.Exchange;
 import wingspread.control.CallControl.ListKind;
 import wingspread.control.CallControl.Readiness;
@@ -90,15 +92,13 @@
     }
 
     private Listing fromJson(Map<?, ?> map) {
-        String endpoint = String.valueOf(map.get("endpoint"));
-        int colon = endpoint.lastIndexOf(':');
         Readiness readiness = switch (String.valueOf(map.get("state"))) {
             case "up" -> Readiness.READY;
             case "draining" -> Readiness.DRAINING;
             default -> Readiness.GONE;
         };
         return listing(String.valueOf(map.get("uid")).toLowerCase(Locale.ROOT),
-                new InetSocketAddress(endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1))),
+                NodeConfig.address(String.valueOf(map.get("endpoint")), "known.endpoint"),
                 String.valueOf(map.get("az")), String.valueOf(map.get("model")), number(map.get("pod_group")),
                 readiness, number(map.get("capacity_hint")), (long) number(map.get("boot_ms")));
     }
@@ -120,9 +120,9 @@
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST_ANSWER))
                 .handler(new Answers())
                 .connect(server)
-                .addListener(f -> {
+                .addListener((ChannelFuture f) -> {
                     if (f.isSuccess()) {
-                        ask(((io.netty.channel.ChannelFuture) f).channel());
+                        ask(f.channel());
                     } else {
                         LOG.error("the directory cannot be asked: {}", f.cause().toString());
                     }
@@ -130,11 +130,16 @@
     }
 
     private void ask(Channel channel) {
-        asked = random.nextInt(1 << 16);
+        expect(random.nextInt(1 << 16));
         channel.writeAndFlush(Unpooled.wrappedBuffer(DnsMessage.query(asked, SERVICE)));
         loop.at(loop.now() + ASK_EVERY, () -> ask(channel));
     }
 
+    /** Takes only answers to the question of this number from now on. */
+    void expect(int id) {
+        asked = id;
+    }
+
     /** Reads datagrams from the directory. */
     private final class Answers extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -83,9 +84,13 @@
     }
 
     void listed(Listing listing) {
-        endpoint = listing.endpoint();
         readiness = listing.exchange().readiness();
-        if (open.isEmpty()) {
+        if (!endpoint.equals(listing.endpoint())) {
+            // The exchange has moved: its old connections may belong to another by now.
+            endpoint = listing.endpoint();
+            open.values().forEach(connection -> connection.silent = true);
+        }
+        if (best() == null) {
             connect();
         }
     }
@@ -232,13 +237,13 @@
         connecting = false;
         if (!f.isSuccess()) {
             tried = true;
-            boolean refused = f.cause() instanceof ConnectException
-                    && !(f.cause() instanceof io.netty.channel.ConnectTimeoutException);
-            LOG.info("exchange {} {} ended {}", number, endpoint,
-                    refused ? CloseReason.REFUSED : CloseReason.CONNECT_TIMEOUT);
+            CloseReason reason = f.cause() instanceof ConnectTimeoutException ? CloseReason.CONNECT_TIMEOUT
+                    : f.cause() instanceof ConnectException ? CloseReason.REFUSED : CloseReason.RESET;
+            LOG.info("exchange {} {} ended {}", number, endpoint, reason);
             failWaiting();
-            if (refused && open.isEmpty()) {
-                // A refused connection proves that the process is down: what stood through it is cut.
+            if (reason == CloseReason.REFUSED && open.isEmpty()) {
+                // A refused connection proves that the process is down: what stood through it is cut. One that
+                // is reset or does not come up proves nothing of the kind.
                 events.accept(new Event.Died(number));
             }
             retryLater();
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import wingspread.control.CallControl.Readiness;
+import wingspread.control.CallControl.Status;
 import wingspread.core.Attempt;
 import wingspread.core.Event;
 import wingspread.core.Exchanges;
@@ -71,7 +72,7 @@
     public void invite(Attempt attempt) {
         Link link = links.get(attempt.exchange());
         if (link == null) {
-            post(new Event.Broken(attempt, wingspread.control.CallControl.Status.CONNECT_FAILED));
+            post(new Event.Broken(attempt, Status.CONNECT_FAILED));
         } else {
             link.invite(attempt);
         }
--- /dev/null
+++ b/src/test/java/wingspread/sip/SipDecoderTest.java
@@ -0,0 +1,73 @@
+package wingspread.sip;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import wingspread.net.BadInput;
+import wingspread.testing.Fuzz;
+
+class SipDecoderTest {
+    private static final byte[] BODY = {'v', '=', '0', '\r', '\n', '\r', '\n', 0, (byte) 0xff};
+    private static final byte[] INVITE = bytes(SipMessage.request("INVITE", "sip:7f3a@net")
+            .with("Via", "SIP/2.0/TCP peer;branch=z9hG4bK1, SIP/2.0/UDP far").with("i", "9b1f").with("CSeq", "1 INVITE")
+            .withBody(BODY));
+    private static final byte[] RESPONSE = bytes(SipMessage.response(503, "Service Unavailable").with("Call-ID", "9b1f")
+            .with("CSeq", "1 INVITE").with("X-Outcome", "swamped"));
+    private final SipDecoder decoder = new SipDecoder();
+
+    private static byte[] bytes(SipMessage message) {
+        byte[] out = new byte[message.encode().readableBytes()];
+        message.encode().readBytes(out);
+        return out;
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    @Property(tries = 300, seed = "11")
+    void aStreamReadsTheSameHoweverItIsCut(@ForAll long seed) throws BadInput {
+        byte[] stream = new byte[INVITE.length + 2 + RESPONSE.length];
+        System.arraycopy(INVITE, 0, stream, 0, INVITE.length);
+        stream[INVITE.length] = '\r';
+        stream[INVITE.length + 1] = '\n';
+        System.arraycopy(RESPONSE, 0, stream, INVITE.length + 2, RESPONSE.length);
+        List<SipMessage> read = Fuzz.cut(decoder, stream, seed);
+        assertEquals(2, read.size());
+        assertArrayEquals(BODY, read.get(0).body());
+        assertEquals("9b1f", read.get(0).callId());
+        assertEquals("SIP/2.0/TCP peer;branch=z9hG4bK1", read.get(0).header("Via"));
+        assertEquals(503, read.get(1).status());
+        assertEquals("INVITE", read.get(1).cseqMethod());
+    }
+
+    @Property(tries = 2000, seed = "12")
+    boolean whatIsSpoiltIsTakenOrTurnedAway(@ForAll long seed) {
+        byte[] spoilt = Fuzz.spoil(seed % 2 == 0 ? INVITE : RESPONSE, seed);
+        return Fuzz.takesOrTurnsAway(b -> decoder.next(b, 0, b.length), spoilt)
+                && Fuzz.takesOrTurnsAway(SipDecoder::datagram, spoilt);
+    }
+
+    @Test
+    void aWrongLengthIsTurnedAway() {
+        for (String length : List.of("", "Content-Length: x\r\n", "Content-Length: -1\r\n", "Content-Length: 99999\r\n",
+                "Content-Length: 1\r\nl: 2\r\n", "Content-Length: 9999999999999999999\r\n")) {
+            byte[] message = bytes("BYE sip:a@b SIP/2.0\r\n" + length + "\r\nab");
+            assertThrows(BadInput.class, () -> decoder.next(message, 0, message.length), length);
+        }
+        byte[] datagram = bytes("BYE sip:a@b SIP/2.0\r\nContent-Length: 3\r\n\r\nab");
+        assertThrows(BadInput.class, () -> SipDecoder.datagram(datagram));
+    }
+
+    @Test
+    void aHeadWithoutAnEndIsTurnedAway() {
+        byte[] endless = bytes("BYE sip:a@b SIP/2.0\r\nX: " + "x".repeat(17_000));
+        assertThrows(BadInput.class, () -> decoder.next(endless, 0, endless.length));
+    }
+}
