--- a/src/main/java/wingspread/front/jsonl/LineDecoder.java
+++ b/src/main/java/wingspread/front/jsonl/LineDecoder.java
@@ -7,7 +7,7 @@
 import wingspread.net.FrameDecoder;
 
 /** Cuts lines out of a stream, each one JSON object. */
-final class LineDecoder implements FrameDecoder<Map<?, ?>> {
+public final class LineDecoder implements FrameDecoder<Map<?, ?>> {
     @Override
     public Step<Map<?, ?>> next(byte[] bytes, int from, int to) throws BadInput {
         int end = from;
--- a/src/main/java/wingspread/front/sip/SipFront.java
+++ b/src/main/java/wingspread/front/sip/SipFront.java
@@ -146,6 +146,9 @@
                     .with("Unsupported", invite.header("Require")));
         } else if (recent.containsKey(merged)) {
             transaction.respond(tagged(invite.reply(482, "Loop Detected")));
+        } else if (recent.size() >= MOST_TRANSACTIONS) {
+            // Guards against a flood of INVITEs, each of which is remembered for half a minute.
+            transaction.respond(tagged(invite.reply(503, "Service Unavailable")).with("Retry-After", "5"));
         } else if (place == null) {
             transaction.respond(tagged(invite.reply(404, "Not Found")));
         } else {
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -134,7 +134,8 @@
     }
 
     private SipMessage request(String method, Attempt attempt) {
-        return dialog(method, attempt.request().number(), attempt.request().id(), attempt.index() + 1L, branch(attempt));
+        return dialog(method, attempt.request().number(), attempt.request().id(), attempt.index() + 1L,
+                branch(attempt));
     }
 
     private static String branch(Attempt attempt) {
--- a/src/main/java/wingspread/net/Loop.java
+++ b/src/main/java/wingspread/net/Loop.java
@@ -79,10 +79,14 @@
     private void play() {
         turnAsked = false;
         playing = true;
-        workers.forEach(Worker::turn);
-        playing = false;
-        touched.forEach(Channel::flush);
-        touched.clear();
+        try {
+            workers.forEach(Worker::turn);
+        } finally {
+            // Guards what the turn has written, should a defect break it off: Netty logs it and the loop goes on.
+            playing = false;
+            touched.forEach(Channel::flush);
+            touched.clear();
+        }
         long due = workers.stream().mapToLong(Worker::nextDue).min().orElse(Long.MAX_VALUE);
         // A turn may ask for another: then that one sets the alarm.
         if (due < alarmAt && !turnAsked) {
--- /dev/null
+++ b/src/test/java/wingspread/ServeTest.java
@@ -0,0 +1,257 @@
+package wingspread;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wingspread.front.jsonl.LineDecoder;
+import wingspread.net.BadInput;
+import wingspread.sip.SipDecoder;
+import wingspread.sip.SipMessage;
+import wingspread.testing.Wire;
+
+/** The whole program in a process of its own, between a stand-in caller and a stand-in exchange on the loopback. */
+class ServeTest {
+    private static final String SETTINGS = """
+            {"az":0,"balancers":3,"rank":0,"discovery":"automatic","zones":["here"],"kinds":["std"],
+             "family-info":{"layout":"network","this-node":0,"release":200000,"class-width":[1],"holding":[9000000]},
+             "limits":{"max-attempts":6,"may-cancel":true,"connect-timeout":500000,"retry-after":true,
+                       "max-retry-after":2000000},
+             "obligations":{"stop-sending-within":500000,"cold":14000000,"cold-share":0.3,"fall":1000000,
+                            "fall-multiple":2.0,"grace-to-answer":20000},
+             "services":[{"name":"plain","aim":1500000,"deadline":9000000,"effect":"safe","group":"all","value":1.0}],
+             "telemetry":{"fields":["idle","circuits","backlog","max_rate"],"via":"piggyback"}}""";
+    private static final String ID = "9b1f03aa5c7e2d41";
+
+    @TempDir
+    Path folder;
+
+    private ServerSocket exchangeListener;
+    private Wire<SipMessage> exchange;
+    private Wire<Map<?, ?>> caller;
+    private Process process;
+    private int port;
+
+    @BeforeEach
+    void start() throws Exception {
+        exchangeListener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        exchangeListener.setSoTimeout(10_000);
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\","
+                + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":64},\"settings\":" + SETTINGS
+                + ",\"known\":{\"rev\":1,\"notices\":[{\"rev\":1,\"pool\":{\"all\":true,\"targets\":["
+                + "{\"uid\":\"s-1\",\"endpoint\":\"127.0.0.1:" + exchangeListener.getLocalPort() + "\","
+                + "\"az\":\"here\",\"model\":\"std\",\"pod_group\":1,\"state\":\"up\",\"capacity_hint\":1,"
+                + "\"boot_ms\":0}]}}]}}");
+        process = serve(config.toString());
+        exchange = accept();
+        exchange.send(SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges", "idle:20;circuits:20").encode());
+        caller = connect();
+        asksUntil(caller, 1);
+    }
+
+    /** Tests the program until the test says this; the wire's patience bounds each one. */
+    private static void asksUntil(Wire<Map<?, ?>> wire, int wanted) throws IOException, BadInput {
+        do {
+            wire.send("{\"op\":\"test\",\"call\":\"0000000000000001\",\"with\":{},\"why\":0}\n");
+        } while (((Double) wire.next().get("why")).intValue() != wanted);
+    }
+
+    private static Process serve(String config) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "wingspread.Main", "serve");
+        builder.environment().put("LB_CONFIG", config);
+        return builder.redirectErrorStream(true).start();
+    }
+
+    private Wire<SipMessage> accept() throws IOException {
+        return new Wire<>(exchangeListener.accept(), new SipDecoder());
+    }
+
+    /** Tries until the program listens; each refused connect is one try, ten seconds' worth at the most. */
+    private Wire<Map<?, ?>> connect() throws IOException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (true) {
+            try {
+                return new Wire<>(new Socket(InetAddress.getLoopbackAddress(), port), new LineDecoder());
+            } catch (IOException e) {
+                if (System.nanoTime() > until) {
+                    throw e;
+                }
+            }
+        }
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        process.destroyForcibly();
+        exchangeListener.close();
+        caller.close();
+    }
+
+    private void offer(String id) throws IOException {
+        caller.send("{\"op\":\"offer\",\"call\":\"" + id + "\",\"with\":{\"class\":\"plain\",\"left\":\"1500\","
+                + "\"key\":\"00FF\",\"extras\":\"dest:1;width:1;via:-1\"},\"desc\":\"v=0\\r\\n\u00e9\\u00e9\"}\n");
+    }
+
+    private SipMessage heard(String method) throws IOException, BadInput {
+        SipMessage message = exchange.next();
+        assertEquals(method, message.method());
+        return message;
+    }
+
+    private void answer(SipMessage invite, int status) throws IOException {
+        exchange.send(SipMessage.response(status, "x").with("Call-ID", invite.callId()).with("CSeq", "1 INVITE")
+                .withBody(new byte[] {'o', '=', 0x22, (byte) 0xc3, 0}).encode());
+    }
+
+    private Map<?, ?> told(String op) throws IOException, BadInput {
+        Map<?, ?> message = caller.next();
+        assertEquals(op, message.get("op"), message::toString);
+        return message;
+    }
+
+    private SipMessage bye(String id, int cause) {
+        return SipMessage.request("BYE", "sip:x@net").with("Call-ID", id).with("CSeq", "1 BYE")
+                .with("Reason", "Q.850;cause=" + cause);
+    }
+
+    private void stands(String id) throws IOException, BadInput {
+        offer(id);
+        answer(heard("INVITE"), 200);
+        heard("ACK");
+        told("accept");
+    }
+
+    @Test
+    void aCallPassesThroughByteForByteAndIsReleased() throws Exception {
+        offer(ID);
+        SipMessage invite = heard("INVITE");
+        assertEquals("sip:00FF@net", invite.uri());
+        assertEquals(ID, invite.callId());
+        assertEquals("plain", invite.header("X-Tier"));
+        assertTrue(SipMessage.number(invite.header("X-Deadline")) <= 1_500);
+        assertArrayEquals(new byte[] {'v', '=', '0', '\r', '\n', (byte) 0xe9, (byte) 0xc3, (byte) 0xa9}, invite.body());
+        answer(invite, 200);
+        heard("ACK");
+        assertEquals("o=\"\u00c3\0", told("accept").get("desc"));
+        exchange.send(bye(ID, 16).encode());
+        assertEquals(200, exchange.next().status());
+        assertEquals(16.0, told("end").get("why"));
+    }
+
+    @Test
+    void aSuccessThatCrossesTheCancelIsAcknowledgedAndReleased() throws Exception {
+        offer(ID);
+        SipMessage invite = heard("INVITE");
+        caller.send("{\"op\":\"end\",\"call\":\"" + ID + "\",\"with\":{},\"why\":16}\n");
+        heard("CANCEL");
+        answer(invite, 200);
+        heard("ACK");
+        assertEquals(ID, heard("BYE").callId());
+    }
+
+    @Test
+    void aStandingCallOutlivesItsConnectionsOnBothSides() throws Exception {
+        stands(ID);
+        caller.close();
+        caller = connect();
+        exchange.close();
+        exchange = accept();
+        exchange.send(bye(ID, 16).encode());
+        assertEquals(ID, told("end").get("call"));
+    }
+
+    @Test
+    void aLostConnectionGivesUpAllSetUpsOpenOnIt() throws Exception {
+        offer("a".repeat(16));
+        offer("b".repeat(16));
+        heard("INVITE");
+        heard("INVITE");
+        exchangeListener.close();
+        exchange.reset();
+        assertEquals(42.0, told("end").get("why"));
+        assertEquals(42.0, told("end").get("why"));
+    }
+
+    @Test
+    void aDeadProcessCutsItsStandingCalls() throws Exception {
+        stands(ID);
+        exchangeListener.close();
+        exchange.reset();
+        assertEquals(41.0, told("end").get("why"));
+    }
+
+    @Test
+    void badInputEndsItsConnectionAndNothingElse() throws Exception {
+        for (String bad : List.of("nonsense\n", "{\"op\":\"unheard-of\",\"call\":\"1\"}\n", "x".repeat(17_000))) {
+            try (Wire<Map<?, ?>> rude = connect()) {
+                rude.send(bad);
+                assertTrue(rude.closed());
+            }
+        }
+        caller.send("{\"op\":\"offer\",\"call\":\"" + "c".repeat(16) + "\",\"with\":{}}\n");
+        assertEquals(100.0, told("end").get("why"));
+        caller.send("{\"op\":\"end\",\"call\":\"unknown\",\"with\":{},\"why\":16}\n");
+        exchange.send("SIP/2.0 nonsense\r\n\r\n");
+        exchange = accept();
+        exchange.send(SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges", "idle:20;circuits:20").encode());
+        stands(ID);
+    }
+
+    @Test
+    void sigtermFinishesReleasesAndExitsWithZero() throws Exception {
+        stands(ID);
+        offer("d".repeat(16));
+        SipMessage invite = heard("INVITE");
+        process.toHandle().destroy();
+        try (Wire<Map<?, ?>> late = connect()) {
+            asksUntil(late, 0);
+        }
+        answer(invite, 200);
+        heard("ACK");
+        told("accept");
+        assertEquals(ID, heard("BYE").callId());
+        assertEquals("d".repeat(16), heard("BYE").callId());
+        assertEquals(ID, told("end").get("call"));
+        assertEquals("d".repeat(16), told("end").get("call"));
+        assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+        assertTrue(new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                .contains("answered.stood=2"));
+    }
+
+    @Test
+    void aBadConfigurationIsOneLineAndANonZeroExit() throws Exception {
+        Path bad = folder.resolve("bad.json");
+        Files.writeString(bad, "{\"name\":");
+        Process failing = serve(bad.toString());
+        try (BufferedReader out = new BufferedReader(new InputStreamReader(failing.getInputStream(),
+                StandardCharsets.UTF_8))) {
+            List<String> lines = out.lines().toList();
+            assertEquals(1, lines.size(), lines::toString);
+            assertTrue(lines.get(0).contains("bad.json"), lines::toString);
+        }
+        assertTrue(failing.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(2, failing.exitValue());
+    }
+}
--- a/src/test/java/wingspread/control/RecordingHost.java
+++ b/src/test/java/wingspread/control/RecordingHost.java
@@ -105,7 +105,8 @@
     long call(int callClass, int destination, long number, long left, int via, boolean transit) {
         long id = nextCall++;
         double width = callClass == 0 ? 1 : 4;
-        control.onCall(now, new Call(id, callClass, number, now + left, destination, width, via, false, transit, false));
+        control.onCall(now, new Call(id, callClass, number, now + left,
+                destination, width, via, false, transit, false));
         return id;
     }
 
--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import net.jqwik.api.ForAll;
@@ -35,7 +36,8 @@
             label(out, "s-1", "east", "hosts");
             out.write(0);
         }
-        u16(out, 0xc000 | NAME_AT, 6, 1, 0, 0, 24, 0xc000 | NAME_AT, 0xc000 | NAME_AT, 0, serial, 0, 1, 0, 1, 0, 1, 0, 1);
+        u16(out, 0xc000 | NAME_AT, 6, 1, 0, 0, 24, 0xc000 | NAME_AT, 0xc000 | NAME_AT, 0, serial,
+                0, 1, 0, 1, 0, 1, 0, 1);
         if (listed) {
             u16(out, 0xc000 | hostAt, 1, 1, 0, 0, 4, 0x7f00, 9);
             u16(out, 0xc000 | hostAt, 16, 1, 0, 0, 26);
@@ -71,7 +73,8 @@
     }
 
     private void known() throws BadInput {
-        directory.known((Map<?, ?>) Json.parse(("{\"rev\":4,\"notices\":[{\"rev\":1,\"pool\":{\"all\":true,\"targets\":["
+        directory.known((Map<?, ?>) Json.parse(("{\"rev\":4,\"notices\":[{\"rev\":1,\"pool\":{\"all\":true,"
+                + "\"targets\":["
                 + "{\"uid\":\"s-1\",\"endpoint\":\"127.0.0.9:3868\",\"az\":\"east\",\"model\":\"std\",\"pod_group\":2,"
                 + "\"state\":\"up\",\"capacity_hint\":4,\"boot_ms\":0}]}}]}").getBytes(StandardCharsets.US_ASCII)));
         directory.expect(99);
@@ -105,7 +108,7 @@
     @Property(tries = 200, seed = "32")
     void whatIsCutOffIsTurnedAway(@ForAll byte cut) {
         byte[] whole = answer(99, 0, 9, true);
-        byte[] part = java.util.Arrays.copyOf(whole, (cut & 0xff) % whole.length);
+        byte[] part = Arrays.copyOf(whole, (cut & 0xff) % whole.length);
         assertThrows(BadInput.class, () -> DnsMessage.parse(part));
     }
 }
--- a/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
+++ b/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
@@ -237,8 +237,8 @@
         SipListener listener = new SipListener(loop, front);
         loop.serve(timers);
         loop.serve(planner);
-        frontAddress = (InetSocketAddress) listener.listenUdp(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-                .sync().channel().localAddress();
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        frontAddress = (InetSocketAddress) listener.listenUdp(any).sync().channel().localAddress();
         try (DatagramChannel opened = DatagramChannel.open()) {
             socket = opened;
             socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -279,7 +279,9 @@
         Planner made = new Planner(clock::get, settings, 7, 100, new StandInExchange(), metrics);
         made.post(new Event.Listed(ListKind.CACHED,
                 List.of(new Exchange(1, 0, 0, 1, Readiness.READY, 1, 0))));
-        made.post(new Event.Reported(1, new Report(200, 200, Double.NaN, 0, Double.NaN, Double.NaN, 900, Double.NaN)));
+        made.post(new Event.Reported(1,
+                new Report(200, 200, Double.NaN, 0, Double.NaN, Double.NaN,
+                900, Double.NaN)));
         return made;
     }
 }
--- a/src/test/java/wingspread/testing/Fuzz.java
+++ b/src/test/java/wingspread/testing/Fuzz.java
@@ -1,6 +1,7 @@
 package wingspread.testing;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
 import wingspread.net.BadInput;
@@ -32,7 +33,7 @@
     /** A message with some bytes changed, cut off or put in. */
     public static byte[] spoil(byte[] valid, long seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        byte[] out = java.util.Arrays.copyOf(valid, random.nextInt(valid.length + 20));
+        byte[] out = Arrays.copyOf(valid, random.nextInt(valid.length + 20));
         for (int i = random.nextInt(6); i > 0 && out.length > 0; i--) {
             out[random.nextInt(out.length)] = (byte) random.nextInt(256);
         }
