Read datagrams in one place, and test links that fall silent, reset, refuse or go

Seen with duplicates: Directory and SipListener read datagrams with the same ten lines; net.DatagramHandler does it for both. LinksTest holds the links to what ServeTest could not reach: a connection that fell silent is replaced and closed, a refused connect proves the process down, a reset gives up the set-ups, an exchange that has gone is left.

--- a/src/main/java/wingspread/directory/Directory.java
+++ b/src/main/java/wingspread/directory/Directory.java
@@ -1,17 +1,12 @@
 package wingspread.directory;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -30,6 +25,7 @@
 import wingspread.control.CallControl.ListKind;
 import wingspread.control.CallControl.Readiness;
 import wingspread.net.BadInput;
+import wingspread.net.DatagramHandler;
 import wingspread.net.Loop;
 
 /**
@@ -118,7 +114,8 @@
     public void follow(InetSocketAddress server) {
         new Bootstrap().group(loop.group()).channel(NioDatagramChannel.class)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST_ANSWER))
-                .handler(new Answers())
+                .handler(new DatagramHandler("directory",
+                        (ctx, bytes, sender) -> answer(DnsMessage.parse(bytes))))
                 .connect(server)
                 .addListener((ChannelFuture f) -> {
                     if (f.isSuccess()) {
@@ -140,30 +137,6 @@
         asked = id;
     }
 
-    /** Reads datagrams from the directory. */
-    private final class Answers extends SimpleChannelInboundHandler<DatagramPacket> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-            ByteBuf content = packet.content();
-            byte[] bytes = new byte[content.readableBytes()];
-            content.readBytes(bytes);
-            try {
-                answer(DnsMessage.parse(bytes));
-            } catch (BadInput e) {
-                LOG.warn("an answer of the directory was dropped: {}", e.getMessage());
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof IOException) {
-                LOG.warn("the directory does not answer: {}", cause.toString());
-            } else {
-                ctx.fireExceptionCaught(cause);
-            }
-        }
-    }
-
     /** Takes an answer: what is not in the whole list has gone. */
     void answer(DnsMessage message) throws BadInput {
         long newSerial = message.records().stream().filter(DnsMessage.Soa.class::isInstance)
--- a/src/main/java/wingspread/front/sip/SipListener.java
+++ b/src/main/java/wingspread/front/sip/SipListener.java
@@ -2,21 +2,17 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -27,6 +23,7 @@
 import org.slf4j.LoggerFactory;
 import wingspread.net.BadInput;
 import wingspread.net.CloseReason;
+import wingspread.net.DatagramHandler;
 import wingspread.net.FrameDecoder;
 import wingspread.net.Loop;
 import wingspread.net.MessageHandler;
@@ -54,7 +51,8 @@
     public ChannelFuture listenUdp(InetSocketAddress address) {
         ChannelFuture bound = new Bootstrap().group(loop.group()).channel(NioDatagramChannel.class)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(FrameDecoder.MAX_FRAME))
-                .handler(new Datagrams())
+                .handler(new DatagramHandler("SIP UDP",
+                        (ctx, bytes, sender) -> datagram(ctx.channel(), bytes, sender)))
                 .bind(address);
         listeners.add(bound.channel());
         return bound;
@@ -136,31 +134,11 @@
         return literal && port > 0 && port < 1 << 16 ? new InetSocketAddress(host, (int) port) : null;
     }
 
-    /** Reads datagrams; what is malformed ends with its datagram. */
-    private final class Datagrams extends SimpleChannelInboundHandler<DatagramPacket> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-            ByteBuf content = packet.content();
-            byte[] bytes = new byte[content.readableBytes()];
-            content.readBytes(bytes);
-            try {
-                SipMessage message = SipDecoder.datagram(bytes);
-                InetSocketAddress back = message.isRequest() ? received(message, packet.sender()) : packet.sender();
-                front.received(message, new DatagramPeer(ctx.channel(), back));
-                loop.wantTurn();
-            } catch (BadInput e) {
-                LOG.info("SIP UDP {} datagram dropped BAD_INPUT ({})", packet.sender(), e.getMessage());
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (cause instanceof IOException) {
-                LOG.info("SIP UDP: {}", cause.toString());
-            } else {
-                ctx.fireExceptionCaught(cause);
-            }
-        }
+    private void datagram(Channel channel, byte[] bytes, InetSocketAddress sender) throws BadInput {
+        SipMessage message = SipDecoder.datagram(bytes);
+        InetSocketAddress back = message.isRequest() ? received(message, sender) : sender;
+        front.received(message, new DatagramPeer(channel, back));
+        loop.wantTurn();
     }
 
     /** Notes in the Via whence a request came, and returns where its answers go (RFC 3261, 18.2; RFC 3581). */
--- /dev/null
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -0,0 +1,126 @@
+package wingspread.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import wingspread.control.CallControl.Exchange;
+import wingspread.control.CallControl.Readiness;
+import wingspread.control.CallControl.Status;
+import wingspread.core.Attempt;
+import wingspread.core.AttemptFixture;
+import wingspread.core.Event;
+import wingspread.directory.Listing;
+import wingspread.net.Loop;
+import wingspread.net.Metrics;
+import wingspread.sip.SipDecoder;
+import wingspread.sip.SipMessage;
+import wingspread.testing.Wire;
+
+/** The links toward a stand-in exchange that vanishes, moves or goes. */
+class LinksTest {
+    private final AtomicLong clock = new AtomicLong(1_000_000_000);
+    private final Loop loop = new Loop(clock::get);
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final Links links = new Links(loop, 500_000, 0, events::add, new Metrics());
+    private ServerSocket listener;
+
+    @BeforeEach
+    void listen() throws IOException {
+        listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        listener.setSoTimeout(10_000);
+        list(Readiness.READY);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        loop.execute(links::close);
+        loop.stop();
+        listener.close();
+    }
+
+    private void list(Readiness readiness) {
+        InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort());
+        loop.execute(() -> links.update(List.of(new Listing("s-1", at, new Exchange(1, 0, 0, 1, readiness, 1, 0)))));
+    }
+
+    private Wire<SipMessage> accept() throws IOException {
+        return new Wire<>(listener.accept(), new SipDecoder());
+    }
+
+    private Attempt invite(String call) {
+        Attempt attempt = AttemptFixture.attempt(call, 1, clock.get(), clock.get() + 1_500_000);
+        loop.execute(() -> links.invite(attempt));
+        return attempt;
+    }
+
+    private Event event() throws InterruptedException {
+        return events.poll(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aSilentConnectionIsReplacedAndTheNextSetUpTakesTheNewOne() throws Exception {
+        try (Wire<SipMessage> silent = accept()) {
+            Attempt attempt = invite("a");
+            assertEquals("a", silent.next().callId());
+            clock.addAndGet(1_500_000);
+            loop.execute(() -> links.withdraw(attempt));
+            assertEquals("CANCEL", silent.next().method());
+            try (Wire<SipMessage> fresh = accept()) {
+                invite("b");
+                assertEquals("b", fresh.next().callId());
+                assertTrue(silent.closed());
+            }
+        }
+    }
+
+    @Test
+    void aRefusedConnectionProvesTheProcessDownAndThatNothingRan() throws Exception {
+        Wire<SipMessage> connection = accept();
+        listener.close();
+        connection.reset();
+        assertEquals(new Event.Died(1), event());
+        Attempt attempt = invite("a");
+        Event broken = event();
+        while (broken instanceof Event.Died) {
+            broken = event();
+        }
+        assertEquals(new Event.Broken(attempt, Status.CONNECT_FAILED), broken);
+    }
+
+    @Test
+    void aConnectionThatIsResetGivesUpItsSetUps() throws Exception {
+        Wire<SipMessage> connection = accept();
+        Attempt attempt = invite("a");
+        connection.next();
+        connection.reset();
+        assertEquals(new Event.Broken(attempt, Status.RESET), event());
+        try (Wire<SipMessage> next = accept()) {
+            next.send(SipMessage.request("NOTIFY", "sip:g@net").with("X-Gauges", "x0:3;x1:4;queue:-1").encode());
+            Event.Reported reported = (Event.Reported) event();
+            assertEquals(3, reported.report().free());
+            assertTrue(Double.isNaN(reported.report().backlog()));
+        }
+    }
+
+    @Test
+    void anExchangeThatHasGoneIsLeft() throws Exception {
+        try (Wire<SipMessage> connection = accept()) {
+            list(Readiness.GONE);
+            assertTrue(connection.closed());
+            Attempt attempt = invite("a");
+            assertEquals(new Event.Broken(attempt, Status.CONNECT_FAILED), event());
+        }
+    }
+}
