Hear answers of a slow directory, and end unreadable TLS in one line

From reading the code over: Directory.answer took only answers to the last question, asked every 0.3 s, so that a directory slower than that would never have been heard; answers to the last eight questions are taken, the serial number still guards the order. A client that speaks no TLS on the TLS port left a stack trace in the log (MessageHandler.exceptionCaught); it leaves one line with BAD_INPUT.

--- a/src/main/java/wingspread/directory/Directory.java
+++ b/src/main/java/wingspread/directory/Directory.java
@@ -10,6 +10,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -38,6 +39,8 @@
     /** Asked so often that a lost datagram is made up for well within the time in which news counts as told. */
     private static final long ASK_EVERY = 300_000;
     private static final int LONGEST_ANSWER = 9_000;
+    /** Questions whose answers are still taken. */
+    private static final int QUESTIONS = 8;
 
     private final Loop loop;
     private final List<String> zones;
@@ -47,7 +50,7 @@
     private final Map<String, Long> numbers = new HashMap<>();
     private final Map<String, Listing> present = new LinkedHashMap<>();
     private long serial;
-    private int asked = -1;
+    private final ArrayDeque<Integer> asked = new ArrayDeque<>();
 
     public Directory(Loop loop, List<String> zones, List<String> kinds, long seed,
             BiConsumer<ListKind, List<Listing>> told) {
@@ -127,22 +130,27 @@
     }
 
     private void ask(Channel channel) {
-        expect(random.nextInt(1 << 16));
-        channel.writeAndFlush(Unpooled.wrappedBuffer(DnsMessage.query(asked, SERVICE)));
+        int id = random.nextInt(1 << 16);
+        expect(id);
+        channel.writeAndFlush(Unpooled.wrappedBuffer(DnsMessage.query(id, SERVICE)));
         loop.at(loop.now() + ASK_EVERY, () -> ask(channel));
     }
 
-    /** Takes only answers to the question of this number from now on. */
+    /** Takes answers to the question of this number, and to the few before it. */
     void expect(int id) {
-        asked = id;
+        asked.add(id);
+        if (asked.size() > QUESTIONS) {
+            asked.remove();
+        }
     }
 
     /** Takes an answer: what is not in the whole list has gone. */
     void answer(DnsMessage message) throws BadInput {
         long newSerial = message.records().stream().filter(DnsMessage.Soa.class::isInstance)
                 .mapToLong(r -> ((DnsMessage.Soa) r).serial()).max().orElse(-1);
-        // Guards against an answer that was overtaken by a later one, or is not for the last question.
-        if (message.id() != asked || message.code() != 0 || newSerial <= serial) {
+        // Guards against an answer that was overtaken by a later one, or is for no question of ours. One that
+        // comes after the next question is taken all the same: a slow directory would never be heard otherwise.
+        if (!asked.contains(message.id()) || message.code() != 0 || newSerial <= serial) {
             return;
         }
         Map<String, Listing> now = list(message);
--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
 import java.util.Arrays;
 import org.slf4j.Logger;
@@ -105,6 +106,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof DecoderException) {
+            // Guards against a client whose TLS cannot be read: it ends its connection, in one line.
+            detail = " (" + cause.getMessage() + ")";
+            close(ctx.channel(), CloseReason.BAD_INPUT);
+            return;
+        }
         if (!(cause instanceof IOException)) {
             LOG.error("{} {} failed", kind, ctx.channel().remoteAddress(), cause);
         }
--- a/src/test/java/wingspread/SipServiceTest.java
+++ b/src/test/java/wingspread/SipServiceTest.java
@@ -1,7 +1,6 @@
 package wingspread;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -10,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.security.KeyPair;
@@ -117,7 +117,13 @@
                 assertEquals("SIP/2.0 200 OK", options(fresh, 3));
                 assertEquals("CN=second", subject(fresh));
             }
-            assertTrue(old.isConnected());
+            try (Socket rude = new Socket(address.getAddress(), address.getPort())) {
+                rude.setSoTimeout(10_000);
+                rude.getOutputStream().write("OPTIONS sip:no-tls@net SIP/2.0\r\n\r\n".getBytes(
+                        StandardCharsets.ISO_8859_1));
+                rude.getInputStream().readAllBytes();
+            }
+            assertEquals("SIP/2.0 200 OK", options(old, 4));
         } finally {
             loop.execute(service::close);
             loop.stop();
--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -93,6 +93,19 @@
                 ListKind.DELTA + " s-1 3868 1 1 2 " + Readiness.GONE + " 7000"), told);
     }
 
+    @Test
+    void anAnswerThatComesAfterTheNextQuestionIsHeard() throws BadInput {
+        known();
+        directory.expect(100);
+        take(answer(99, 1, 5, true));
+        assertEquals(2, told.size());
+        for (int id = 101; id <= 108; id++) {
+            directory.expect(id);
+        }
+        take(answer(99, 0, 6, true));
+        assertEquals(2, told.size());
+    }
+
     @Test
     void aTruncatedAnswerIsNoList() {
         byte[] truncated = answer(99, 0, 9, false);
