Turn away figures that are not finite, negative widths and endless waits

From reading the code over: JsonlFront.number and Gauges.value took NaN and Infinity, which Double.valueOf reads. A width of NaN would have made a group's free circuits NaN in the module, which lets every call through; a wait of 1e300 ms overflowed the deadline.

--- a/src/main/java/wingspread/config/SipConfig.java
+++ b/src/main/java/wingspread/config/SipConfig.java
@@ -75,8 +75,13 @@
     }
 
     private static SipConfig from(Map<String, String> pairs) {
-        if (!"true".equals(pairs.get("enabled"))) {
-            return null;
+        switch (pairs.getOrDefault("enabled", "false")) {
+            case "false":
+                return null;
+            case "true":
+                break;
+            default:
+                throw new ConfigException("'enabled' is neither true nor false: '" + pairs.get("enabled") + "'");
         }
         Map<String, Integer> routes = new TreeMap<>();
         pairs.forEach((key, value) -> {
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -39,6 +39,8 @@
     private static final int REFUSED = 42;
     private static final int INVALID = 100;
     private static final int MOST_RELEASES = 4_096;
+    /** Milliseconds; guards the deadline against figures that would overflow it. */
+    private static final double LONGEST_WAIT = 86_400_000;
 
     private final Loop loop;
     private final List<CallClass> classes;
@@ -141,7 +143,9 @@
         int callClass = classOf(text(with, "class"));
         Map<String, Double> extras = extras(text(with, "extras"));
         Double left = number(with.get("left"));
-        if (callClass < 0 || left == null || left < 0 || !extras.containsKey("dest") || call.isEmpty()) {
+        double width = extras.getOrDefault("width", 1.0);
+        if (callClass < 0 || left == null || left < 0 || width < 0 || !extras.containsKey("dest")
+                || call.isEmpty()) {
             LOG.info("caller {} offers a call that cannot be read: {}", channel.remoteAddress(), call);
             metrics.count("answered.invalid");
             write(channel, line("end", call, "", INVALID, null));
@@ -150,8 +154,8 @@
         connections.get(channel).add(leg);
         post(new Event.Offered(new Request(call, text(with, "class"), callClass, text(with, "key"),
                 text(message, "desc").getBytes(StandardCharsets.ISO_8859_1),
-                loop.now() + (long) (left * 1_000), extras.get("dest").intValue(),
-                extras.getOrDefault("width", 1.0), extras.getOrDefault("via", -1.0).intValue(),
+                loop.now() + (long) (Math.min(left, LONGEST_WAIT) * 1_000), extras.get("dest").intValue(),
+                width, extras.getOrDefault("via", -1.0).intValue(),
                 !text(with, "retry").isEmpty(), extras.getOrDefault("transit", 0.0) > 0,
                 extras.getOrDefault("again", 0.0) > 0), leg));
     }
@@ -177,12 +181,11 @@
         return out;
     }
 
+    /** Guards the module's arithmetic: a figure that is not finite would never leave it again. */
     private static Double number(Object value) {
-        if (value instanceof Double d) {
-            return d;
-        }
         try {
-            return value instanceof String s ? Double.valueOf(s) : null;
+            Double figure = value instanceof String s ? Double.valueOf(s) : value instanceof Double d ? d : null;
+            return figure == null || !Double.isFinite(figure) ? null : figure;
         } catch (NumberFormatException e) {
             return null;
         }
--- a/src/main/java/wingspread/link/Gauges.java
+++ b/src/main/java/wingspread/link/Gauges.java
@@ -35,7 +35,7 @@
     private static double value(Map<String, Double> values, List<String> names) {
         for (String name : names) {
             Double value = values.get(name);
-            if (value != null && value >= 0) {
+            if (value != null && value >= 0 && Double.isFinite(value)) {
                 return value;
             }
         }
--- a/src/test/java/wingspread/ServeTest.java
+++ b/src/test/java/wingspread/ServeTest.java
@@ -211,6 +211,11 @@
         }
         caller.send("{\"op\":\"offer\",\"call\":\"" + "c".repeat(16) + "\",\"with\":{}}\n");
         assertEquals(100.0, told("end").get("why"));
+        for (String extras : List.of("dest:NaN;width:1", "dest:1;width:-1", "width:1")) {
+            caller.send("{\"op\":\"offer\",\"call\":\"" + "e".repeat(16) + "\",\"with\":{\"class\":\"plain\","
+                    + "\"left\":\"1500\",\"extras\":\"" + extras + "\"},\"desc\":\"\"}\n");
+            assertEquals(100.0, told("end").get("why"));
+        }
         caller.send("{\"op\":\"end\",\"call\":\"unknown\",\"with\":{},\"why\":16}\n");
         exchange.send("SIP/2.0 nonsense\r\n\r\n");
         exchange = accept();
