One queue of deadlines for planner and SIP timers; drop what nothing used

From reading the whole change over: Planner and sip.Timers each kept the same queue by time and order; net.Deadlines serves both. Record-Route and Content-Length were each looked up by a loop of their own; SipMessage.values does it. Removed: TransactionLayer.size and its wrapper of one field, a returned peer, a setting that was parsed and never read. Event.Broken's comment now says what it carries. Left: Link and SipFront each read a BYE's cause, but differ on unreadable ones; the module's tests repeat shapes.

--- a/src/main/java/wingspread/config/SettingsParser.java
+++ b/src/main/java/wingspread/config/SettingsParser.java
@@ -33,7 +33,7 @@
 
     /** The settings; the names of the report's fields in their order; the names of zones and machine kinds. */
     public record Parsed(Settings settings, List<String> reportFields, List<String> zones, List<String> kinds,
-            long connectTimeout, int mostHeld) { }
+            long connectTimeout) { }
 
     public static Parsed parse(String text) {
         return parse(pairs(text));
@@ -43,7 +43,7 @@
     public static Parsed parse(Map<String, String> pairs) {
         SettingsParser p = new SettingsParser(pairs);
         return new Parsed(p.settings(), p.list("telemetry.fields"), p.list("zones"), p.list("kinds"),
-                p.time("limits.connect-timeout"), p.integer("limits.most-held", 0));
+                p.time("limits.connect-timeout"));
     }
 
     private Settings settings() {
--- a/src/main/java/wingspread/core/Event.java
+++ b/src/main/java/wingspread/core/Event.java
@@ -25,7 +25,7 @@
     /** An exchange released a call that stood. */
     record Released(long exchange, String call, int cause, Report report) implements Event { }
 
-    /** A set-up could not be sent, or its connection was lost: {@code CONNECT_FAILED} or {@code RESET}. */
+    /** A set-up ended on this side: not sent, its connection lost, or cancelled. */
     record Broken(Attempt attempt, Status status) implements Event { }
 
     /** The processor of an exchange has died: the calls through it are cut. */
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -2,13 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -23,6 +21,7 @@
 import wingspread.control.CallControl.Settings;
 import wingspread.control.CallControl.Status;
 import wingspread.control.WindowControl;
+import wingspread.net.Deadlines;
 import wingspread.net.Metrics;
 import wingspread.net.Worker;
 
@@ -48,15 +47,13 @@
     private final CallControl control;
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
-    private final PriorityQueue<Due> dues = new PriorityQueue<>(
-            Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final Deadlines deadlines = new Deadlines();
     private final Map<String, Held> byId = new LinkedHashMap<>();
     private final Map<Long, Held> byNumber = new HashMap<>();
     private final Set<Long> listed = new HashSet<>();
     private final Map<Long, Long> started = new HashMap<>();
     private long nextCall = 1;
     private long descriptions;
-    private long order;
 
     /** A call from its coming in until nothing of it is awaited. */
     private static final class Held {
@@ -85,9 +82,6 @@
         }
     }
 
-    /** Something to do at a time. */
-    private record Due(long at, long order, Runnable what) { }
-
     public Planner(LongSupplier clock, Settings settings, long seed, int mostCalls, Exchanges exchanges,
             Metrics metrics) {
         this.clock = clock;
@@ -110,9 +104,7 @@
             while (!inbox.isEmpty()) {
                 handle(now, inbox.remove());
             }
-            while (!dues.isEmpty() && dues.peek().at() <= now) {
-                dues.remove().what().run();
-            }
+            deadlines.play(now);
             while (!actions.isEmpty()) {
                 actions.remove().run();
             }
@@ -121,7 +113,7 @@
 
     @Override
     public long nextDue() {
-        return dues.isEmpty() ? Long.MAX_VALUE : dues.peek().at();
+        return deadlines.next();
     }
 
     /** Calls that are owed an answer. */
@@ -194,7 +186,7 @@
         byId.put(request.id(), held);
         byNumber.put(held.number, held);
         descriptions += request.description().length;
-        due(request.deadline(), () -> actions.add(() -> overdue(held)));
+        deadlines.add(request.deadline(), () -> actions.add(() -> overdue(held)));
         control.onCall(now, new CallControl.Call(held.number, request.callClass(), number(request.number()),
                 request.deadline(), request.destination(), request.width(), request.via(), request.redial(),
                 request.transit(), request.cut()));
@@ -344,10 +336,6 @@
         forgetIfDone(held);
     }
 
-    private void due(long at, Runnable what) {
-        dues.add(new Due(at, order++, what));
-    }
-
     // What the module asks for.
 
     @Override
@@ -376,7 +364,7 @@
             return;
         }
         held.attempts.add(attempt);
-        due(attempt.deadline(), () -> timedOut(attempt));
+        deadlines.add(attempt.deadline(), () -> timedOut(attempt));
         metrics.count("sent.set-ups");
         exchanges.invite(attempt);
     }
@@ -419,7 +407,7 @@
 
     @Override
     public void timer(long at, long token) {
-        due(at, () -> control.onTimer(clock.getAsLong(), token));
+        deadlines.add(at, () -> control.onTimer(clock.getAsLong(), token));
     }
 
     @Override
--- a/src/main/java/wingspread/front/sip/SipFront.java
+++ b/src/main/java/wingspread/front/sip/SipFront.java
@@ -260,11 +260,7 @@
             pending.remove(invite);
             SipMessage request = invite.request();
             SipMessage ok = tagged(request.reply(200, "OK")).with("Contact", contact()).with("Allow", ALLOW);
-            for (SipMessage.Header header : request.headers()) {
-                if (header.name().equalsIgnoreCase("Record-Route")) {
-                    ok.with("Record-Route", header.value());
-                }
-            }
+            request.values("Record-Route").forEach(route -> ok.with("Record-Route", route));
             if (description.length > 0) {
                 ok.with("Content-Type", "application/sdp");
             }
--- a/src/main/java/wingspread/front/sip/SipListener.java
+++ b/src/main/java/wingspread/front/sip/SipListener.java
@@ -87,15 +87,13 @@
         List.copyOf(streams.keySet()).forEach(channel -> MessageHandler.close(channel, CloseReason.SHUTDOWN));
     }
 
-    private StreamPeer opened(SocketChannel channel, String transport) {
-        StreamPeer peer = new StreamPeer(channel, transport, null);
+    private void opened(SocketChannel channel, String transport) {
         channel.pipeline().addLast(new MessageHandler<>("SIP " + transport, new SipDecoder(), this));
         // Guards the limit on descriptors.
         if (streams.size() >= MOST_CONNECTIONS) {
             loop.execute(() -> MessageHandler.close(channel, CloseReason.TOO_MANY));
         }
-        streams.put(channel, peer);
-        return peer;
+        streams.put(channel, new StreamPeer(channel, transport, null));
     }
 
     @Override
--- a/src/main/java/wingspread/sip/Dialog.java
+++ b/src/main/java/wingspread/sip/Dialog.java
@@ -1,6 +1,5 @@
 package wingspread.sip;
 
-import java.util.ArrayList;
 import java.util.List;
 
 /** A dialog of RFC 3261, 12, on the side that was called: known by Call-ID and both tags. */
@@ -11,7 +10,7 @@
     private final String local;
     private final String remote;
     private final String target;
-    private final List<String> routes = new ArrayList<>();
+    private final List<String> routes;
     private final long inviteCseq;
     private final Peer peer;
     private final Timers timers;
@@ -33,11 +32,7 @@
         this.remoteCseq = invite.cseq();
         this.peer = peer.toward(target);
         this.timers = timers;
-        for (SipMessage.Header header : invite.headers()) {
-            if (header.name().equalsIgnoreCase("Record-Route")) {
-                routes.add(header.value());
-            }
-        }
+        this.routes = invite.values("Record-Route");
     }
 
     /** The tag of a From or To, empty for none. */
--- a/src/main/java/wingspread/sip/SipDecoder.java
+++ b/src/main/java/wingspread/sip/SipDecoder.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Locale;
 import wingspread.net.BadInput;
 import wingspread.net.FrameDecoder;
 import wingspread.sip.SipMessage.Header;
@@ -59,15 +58,12 @@
     /** Guards against two lengths that differ, which the two ends of a connection would read apart. */
     private static long length(SipMessage message) throws BadInput {
         long found = -1;
-        for (Header header : message.headers()) {
-            String name = header.name().toLowerCase(Locale.ROOT);
-            if (name.equals("content-length") || name.equals("l")) {
-                long value = SipMessage.number(header.value());
-                if (value < 0 || found >= 0 && found != value) {
-                    throw new BadInput("SIP: a bad Content-Length");
-                }
-                found = value;
+        for (String text : message.values("Content-Length")) {
+            long value = SipMessage.number(text);
+            if (value < 0 || found >= 0 && found != value) {
+                throw new BadInput("SIP: a bad Content-Length");
             }
+            found = value;
         }
         return found;
     }
--- a/src/main/java/wingspread/sip/SipMessage.java
+++ b/src/main/java/wingspread/sip/SipMessage.java
@@ -74,6 +74,12 @@
         return "";
     }
 
+    /** All values of a header, in order. */
+    public List<String> values(String name) {
+        String wanted = canonical(name);
+        return headers.stream().filter(h -> canonical(h.name()).equals(wanted)).map(Header::value).toList();
+    }
+
     public String callId() {
         return header("Call-ID");
     }
--- a/src/main/java/wingspread/sip/Timers.java
+++ b/src/main/java/wingspread/sip/Timers.java
@@ -1,8 +1,7 @@
 package wingspread.sip;
 
-import java.util.Comparator;
-import java.util.PriorityQueue;
 import java.util.function.LongSupplier;
+import wingspread.net.Deadlines;
 import wingspread.net.Worker;
 
 /** The timers of the transaction layer, in one queue. A timer that has become moot finds so when it fires. */
@@ -14,12 +13,8 @@
     /** Timers B, F, H, J and L: how long a transaction is pursued. */
     public static final long PURSUED = 64 * T1;
 
-    private record Entry(long at, long order, Runnable what) { }
-
     private final LongSupplier clock;
-    private final PriorityQueue<Entry> entries = new PriorityQueue<>(
-            Comparator.comparingLong(Entry::at).thenComparingLong(Entry::order));
-    private long order;
+    private final Deadlines deadlines = new Deadlines();
 
     public Timers(LongSupplier clock) {
         this.clock = clock;
@@ -31,7 +26,7 @@
 
     /** Runs a task at a time. */
     public void at(long time, Runnable what) {
-        entries.add(new Entry(time, order++, what));
+        deadlines.add(time, what);
     }
 
     /** Resends at doubling gaps, not above {@code longest}, until a time or until it is no longer wanted. */
@@ -58,13 +53,11 @@
 
     @Override
     public void turn() {
-        while (!entries.isEmpty() && entries.peek().at() <= now()) {
-            entries.remove().what().run();
-        }
+        deadlines.play(now());
     }
 
     @Override
     public long nextDue() {
-        return entries.isEmpty() ? Long.MAX_VALUE : entries.peek().at();
+        return deadlines.next();
     }
 }
--- a/src/main/java/wingspread/sip/TransactionLayer.java
+++ b/src/main/java/wingspread/sip/TransactionLayer.java
@@ -24,16 +24,8 @@
     private final User user;
     private final int most;
     private final Map<String, ServerTransaction> servers = new HashMap<>();
-    private final Map<String, Client> clients = new HashMap<>();
-
-    /** A request of ours that awaits its final answer. */
-    private static final class Client {
-        final Consumer<SipMessage> heard;
-
-        Client(Consumer<SipMessage> heard) {
-            this.heard = heard;
-        }
-    }
+    /** Who hears the final answers of requests of ours. */
+    private final Map<String, Consumer<SipMessage>> clients = new HashMap<>();
 
     /**
      * A layer.
@@ -114,20 +106,19 @@
     /** Sends a request other than INVITE, again until it is answered or its time is over. */
     public void send(SipMessage request, Peer peer, Consumer<SipMessage> heard) {
         String key = clientKey(request);
-        Client client = new Client(heard);
-        clients.put(key, client);
+        clients.put(key, heard);
         peer.send(request);
         long until = timers.now() + Timers.PURSUED;
         if (!peer.reliable()) {
             timers.resend(Timers.T2, until, () -> {
-                boolean open = clients.get(key) == client;
+                boolean open = clients.get(key) == heard;
                 if (open) {
                     peer.send(request);
                 }
                 return open;
             });
         }
-        timers.at(until, () -> clients.remove(key, client));
+        timers.at(until, () -> clients.remove(key, heard));
     }
 
     private static String clientKey(SipMessage message) {
@@ -135,14 +126,9 @@
     }
 
     private void response(SipMessage message) {
-        Client client = message.status() < 200 ? null : clients.remove(clientKey(message));
-        if (client != null) {
-            client.heard.accept(message);
+        Consumer<SipMessage> heard = message.status() < 200 ? null : clients.remove(clientKey(message));
+        if (heard != null) {
+            heard.accept(message);
         }
     }
-
-    /** Transactions that are open. */
-    public int size() {
-        return servers.size() + clients.size();
-    }
 }
