--- a/src/main/java/wingspread/SipService.java
+++ b/src/main/java/wingspread/SipService.java
@@ -27,7 +27,7 @@
 import wingspread.front.sip.SipFront;
 import wingspread.front.sip.SipListener;
 import wingspread.net.Loop;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 import wingspread.sip.Timers;
 
 /** The SIP front with its timers, sockets and certificate, where the operators have turned it on. */
--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -19,7 +19,7 @@
 import wingspread.front.jsonl.JsonlFront;
 import wingspread.link.Links;
 import wingspread.net.Loop;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 import wingspread.net.Signals;
 import wingspread.net.UnixClock;
 
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -21,9 +21,9 @@
 import wingspread.control.CallControl.Settings;
 import wingspread.control.CallControl.Status;
 import wingspread.control.WindowControl;
-import wingspread.net.Deadlines;
-import wingspread.net.Metrics;
-import wingspread.net.Worker;
+import wingspread.turn.Deadlines;
+import wingspread.metrics.Metrics;
+import wingspread.turn.Worker;
 
 /**
  * One exchange's identity: its calls, its deadlines and its instance of the module. It knows no wire.
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -28,7 +28,7 @@
 import wingspread.net.CloseReason;
 import wingspread.net.Loop;
 import wingspread.net.MessageHandler;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 
 /** The platform's front: callers' JSON lines over TCP. It decides nothing. */
 public final class JsonlFront implements MessageHandler.Owner<Map<?, ?>>, Caller.Strangers {
--- a/src/main/java/wingspread/front/sip/SipFront.java
+++ b/src/main/java/wingspread/front/sip/SipFront.java
@@ -14,7 +14,7 @@
 import wingspread.core.Event;
 import wingspread.core.Planner;
 import wingspread.core.Request;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 import wingspread.sip.Dialog;
 import wingspread.sip.Peer;
 import wingspread.sip.ServerTransaction;
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -27,7 +27,7 @@
 import wingspread.net.CloseReason;
 import wingspread.net.Loop;
 import wingspread.net.MessageHandler;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
 
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -12,7 +12,7 @@
 import wingspread.directory.Listing;
 import wingspread.net.CloseReason;
 import wingspread.net.Loop;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 
 /** The connections to all exchanges, by the number that the directory gave each. */
 public final class Links implements Exchanges {
--- a/src/main/java/wingspread/net/Metrics.java
+++ b/src/main/java/wingspread/metrics/Metrics.java
@@ -1,4 +1,4 @@
-package wingspread.net;
+package wingspread.metrics;
 
 import java.util.Map;
 import java.util.TreeMap;
--- a/src/main/java/wingspread/net/Loop.java
+++ b/src/main/java/wingspread/net/Loop.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import wingspread.turn.Worker;
 
 /**
  * The one event loop. All that an iteration of it reads is gathered first; then one turn is played, and each
--- a/src/main/java/wingspread/sip/Timers.java
+++ b/src/main/java/wingspread/sip/Timers.java
@@ -1,8 +1,8 @@
 package wingspread.sip;
 
 import java.util.function.LongSupplier;
-import wingspread.net.Deadlines;
-import wingspread.net.Worker;
+import wingspread.turn.Deadlines;
+import wingspread.turn.Worker;
 
 /** The timers of the transaction layer, in one queue. A timer that has become moot finds so when it fires. */
 public final class Timers implements Worker {
--- a/src/main/java/wingspread/net/Deadlines.java
+++ b/src/main/java/wingspread/turn/Deadlines.java
@@ -1,4 +1,4 @@
-package wingspread.net;
+package wingspread.turn;
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
--- a/src/main/java/wingspread/net/Worker.java
+++ b/src/main/java/wingspread/turn/Worker.java
@@ -1,4 +1,4 @@
-package wingspread.net;
+package wingspread.turn;
 
 /** Work that is done in turns. */
 public interface Worker {
--- a/src/test/java/wingspread/SipServiceTest.java
+++ b/src/test/java/wingspread/SipServiceTest.java
@@ -37,7 +37,7 @@
 import wingspread.control.CallControl.Effect;
 import wingspread.control.CallControl.RepeatGroup;
 import wingspread.net.Loop;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 import wingspread.net.UnixClock;
 
 /** TLS on the SIP front, and a change of its certificate while a connection is open. */
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -19,7 +19,7 @@
 import wingspread.control.CallControl.Reports;
 import wingspread.control.CallControl.Settings;
 import wingspread.control.CallControl.Status;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 
 /** A planner between a recording caller and a recording exchange, on a clock that the test moves. */
 class PlannerTest {
--- a/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
+++ b/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
@@ -36,7 +36,7 @@
 import wingspread.core.Planner;
 import wingspread.net.BadInput;
 import wingspread.net.Loop;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
 import wingspread.sip.Timers;
--- a/src/test/java/wingspread/front/sip/SipFrontTest.java
+++ b/src/test/java/wingspread/front/sip/SipFrontTest.java
@@ -15,7 +15,7 @@
 import wingspread.control.CallControl.Effect;
 import wingspread.control.CallControl.RepeatGroup;
 import wingspread.core.Event;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 import wingspread.sip.Peer;
 import wingspread.sip.SipMessage;
 import wingspread.sip.Timers;
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -23,7 +23,7 @@
 import wingspread.core.Event;
 import wingspread.directory.Listing;
 import wingspread.net.Loop;
-import wingspread.net.Metrics;
+import wingspread.metrics.Metrics;
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
 import wingspread.testing.Wire;
