Model a fleet in virtual time round the unchanged planner, and play it by lab run

wingspread.lab is a discrete-event model in virtual microseconds: one-line processors, shared circuits, regions, late and noisy reports, the late directory, cold starts that fall over, callers who give up and dial again, and ten kinds of trouble that a scenario combines. It hosts core.Planner as it is. Scenarios are TOML over a shipped one, checked by a JSON Schema; each range is drawn from a stream of its own. A checker that shares no code with the planner watches all rules. picocli carries the command line; serve opens none of it. Deadlines became a heap in plain arrays, which the model leans on.

--- a/src/main/java/wingspread/Main.java
+++ b/src/main/java/wingspread/Main.java
@@ -3,15 +3,14 @@
 import java.nio.file.Path;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import wingspread.cli.Cli;
 import wingspread.config.ConfigException;
 import wingspread.config.SipConfig;
 import wingspread.wirehost.WireHost;
 
-/** The program's two commands. */
+/** The program's commands. */
 public final class Main {
     private static final Logger LOG = LoggerFactory.getLogger(Main.class);
-    private static final String USAGE = "usage: java -jar wingspread.jar serve | wirehost";
-
     private static final Path SIP_FILE = Path.of("deploy/sip.toml");
 
     private Main() { }
@@ -19,7 +18,8 @@
     /**
      * Runs one command.
      *
-     * @param args {@code serve} for a real softswitch, {@code wirehost} for the simulator's wire
+     * @param args {@code serve} for a real softswitch, {@code wirehost} for the simulator's wire, else as {@code
+     *     --help} says
      */
     public static void main(String[] args) {
         int code = run(args);
@@ -30,6 +30,7 @@
 
     /** The exit code, or -1 where the program goes on until it is told to end. */
     static int run(String[] args) {
+        // Guards the start of serve: the command line's libraries are opened for the other commands alone.
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "wirehost":
@@ -43,8 +44,7 @@
                     return 2;
                 }
             default:
-                System.err.println(USAGE);
-                return 2;
+                return Cli.run(args);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/wingspread/cli/LabOptions.java
@@ -0,0 +1,43 @@
+package wingspread.cli;
+
+import picocli.CommandLine.Option;
+import wingspread.lab.scenario.Scenario;
+
+/** What all commands of the laboratory take. */
+final class LabOptions {
+    private static final String MODULE_LOG = "org.slf4j.simpleLogger.log.wingspread.core.Planner";
+
+    @Option(names = "--scenario", defaultValue = "usual", paramLabel = "NAME|FILE",
+            description = "a shipped scenario or a TOML file (default: ${DEFAULT-VALUE})")
+    private String scenario;
+
+    @Option(names = "--set", paramLabel = "TOML",
+            description = "one more line of TOML over the scenario, as in --set 'load.level = 1.2'")
+    private String[] more = new String[0];
+
+    @Option(names = "--seed", defaultValue = "1", description = "where all randomness comes from (default: 1)")
+    private long seed;
+
+    @Option(names = "--threads", description = "replications played side by side (default: one for each core)")
+    private int threads = Runtime.getRuntime().availableProcessors();
+
+    /** The modules' own lines tell of one softswitch each; with hundreds of them, and many days, nobody reads them. */
+    void quietModules() {
+        if (System.getProperty(MODULE_LOG) == null) {
+            System.setProperty(MODULE_LOG, "off");
+        }
+    }
+
+    Scenario scenario() {
+        Scenario read = Scenario.named(scenario);
+        return more.length == 0 ? read : read.with(String.join("\n", more));
+    }
+
+    long seed() {
+        return seed;
+    }
+
+    int threads() {
+        return Math.max(1, threads);
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/cli/LabRun.java
@@ -0,0 +1,97 @@
+package wingspread.cli;
+
+import java.io.PrintWriter;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import wingspread.control.Figures;
+import wingspread.lab.Experiment;
+import wingspread.lab.measure.Service;
+import wingspread.lab.rules.Breach;
+import wingspread.lab.scenario.Scenario;
+import wingspread.lab.world.Model;
+import wingspread.lab.world.PlannerController;
+
+/** Plays a scenario and prints what came of it for each class. */
+@Command(name = "run", mixinStandardHelpOptions = true, versionProvider = Version.class,
+        description = "Plays a scenario and prints the service of each class.",
+        exitCodeListHeading = "Exit codes:%n", exitCodeList = {"0:played, all rules kept", "1:a rule was broken",
+            "2:the command line or a file cannot be taken"})
+final class LabRun implements Callable<Integer> {
+    @Mixin
+    private LabOptions options;
+
+    @Option(names = "--replications", defaultValue = "8", description = "days that are drawn (default: 8)")
+    private int replications;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        options.quietModules();
+        Scenario scenario = options.scenario();
+        PrintWriter out = spec.commandLine().getOut();
+        long before = System.nanoTime();
+        try (Experiment experiment = new Experiment(scenario, options.seed(), options.threads())) {
+            List<Model.Run> runs = experiment.each(0, Math.max(1, replications),
+                    n -> experiment.play(n, PlannerController.with(Figures.USUAL), 0));
+            out.printf(Locale.ROOT, "%s: %s%n", scenario.name(), scenario.about());
+            print(out, runs);
+            double seconds = (System.nanoTime() - before) / 1e9;
+            long calls = runs.stream().mapToLong(Model.Run::calls).sum();
+            out.printf(Locale.ROOT, "%d replications, %d calls, %.1f s, %.0f calls a second%n", runs.size(), calls,
+                    seconds, calls / seconds);
+            out.flush();
+            return runs.stream().anyMatch(run -> run.breachCount() > 0) ? 1 : 0;
+        }
+    }
+
+    private static void print(PrintWriter out, List<Model.Run> runs) {
+        List<Service> all = runs.stream().map(Model.Run::service).toList();
+        out.printf(Locale.ROOT, "%-18s %8s %8s %8s %8s %8s %9s %9s%n", "class", "service", "calls", "in time", "late",
+                "cut", "median ms", "p99 ms");
+        for (int i = 0; i < all.get(0).classes().size(); i++) {
+            int which = i;
+            List<Service.ByClass> rows = all.stream().map(s -> s.classes().get(which)).toList();
+            out.printf(Locale.ROOT, "%-18s %8.3f %8d %8d %8d %8d %9.0f %9.0f%n", rows.get(0).name(),
+                    mean(rows.stream().mapToDouble(Service.ByClass::service).toArray()),
+                    rows.stream().mapToLong(Service.ByClass::calls).sum(),
+                    rows.stream().mapToLong(Service.ByClass::inAim).sum(),
+                    rows.stream().mapToLong(Service.ByClass::late).sum(),
+                    rows.stream().mapToLong(Service.ByClass::cut).sum(),
+                    mean(rows.stream().mapToDouble(r -> r.median() / 1e3).toArray()),
+                    mean(rows.stream().mapToDouble(r -> r.p99() / 1e3).toArray()));
+        }
+        out.printf(Locale.ROOT,
+                "service %.3f (whole %.3f, worst 10 s %.3f, worst class %.3f; less %.3f late, %.3f waste)%n",
+                mean(all.stream().mapToDouble(Service::result).toArray()),
+                mean(all.stream().mapToDouble(Service::whole).toArray()),
+                mean(all.stream().mapToDouble(Service::worstWindow).toArray()),
+                mean(all.stream().mapToDouble(Service::worstClass).toArray()),
+                mean(all.stream().mapToDouble(Service::lateFail).toArray()),
+                mean(all.stream().mapToDouble(Service::waste).toArray()));
+        out.printf(Locale.ROOT, "redials %d, given up %d, over a tandem %d%n",
+                all.stream().mapToLong(s -> s.counts().redials()).sum(),
+                all.stream().mapToLong(s -> s.counts().gaveUp()).sum(),
+                all.stream().mapToLong(s -> s.counts().overTandem()).sum());
+        for (int i = 0; i < runs.size(); i++) {
+            for (Breach breach : runs.get(i).breaches()) {
+                out.printf(Locale.ROOT, "BROKEN in replication %d: %s%n", i, breach);
+            }
+        }
+    }
+
+    private static double mean(double[] values) {
+        double sum = 0;
+        for (double value : values) {
+            sum += value;
+        }
+        return sum / values.length;
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/lab/Experiment.java
@@ -0,0 +1,76 @@
+package wingspread.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.IntFunction;
+import java.util.stream.IntStream;
+import wingspread.lab.scenario.Scenario;
+import wingspread.lab.sim.Streams;
+import wingspread.lab.world.Controller;
+import wingspread.lab.world.Model;
+
+/**
+ * Replications of a scenario. Each is a run of its own on one thread; several are played side by side, and the
+ * results come in the order of their numbers, whatever the threads did.
+ */
+public final class Experiment implements AutoCloseable {
+    private final Scenario scenario;
+    private final long seed;
+    private final ExecutorService threads;
+
+    /** An experiment whose replications all come from one seed. */
+    public Experiment(Scenario scenario, long seed, int threadCount) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.threads = Executors.newFixedThreadPool(threadCount, task -> {
+            Thread thread = new Thread(task, "lab");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    /**
+     * Plays one replication in this thread. Softswitches get the same randomness for the same {@code family}, and
+     * independent one for another.
+     */
+    public Model.Run play(int replication, Controller.Maker maker, int family) {
+        Streams streams = new Streams(seed, replication);
+        Streams own = family == 0 ? streams : new Streams(streams.seedOf("family", family), replication);
+        return new Model(scenario.day(streams), streams, own, maker).play();
+    }
+
+    /** Does something for each of the numbers from {@code from} on, side by side; results in their order. */
+    public <T> List<T> each(int from, int count, IntFunction<T> what) {
+        List<Future<T>> futures = IntStream.range(from, from + count)
+                .mapToObj(number -> threads.submit(() -> what.apply(number))).toList();
+        List<T> out = new ArrayList<>();
+        for (Future<T> future : futures) {
+            out.add(get(future));
+        }
+        return out;
+    }
+
+    private static <T> T get(Future<T> future) {
+        try {
+            return future.get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new CancellationException("interrupted");
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof RuntimeException cause) {
+                throw cause;
+            }
+            throw new IllegalStateException(e.getCause());
+        }
+    }
+
+    @Override
+    public void close() {
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/lab/world/Model.java
@@ -0,0 +1,112 @@
+package wingspread.lab.world;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import wingspread.control.CallControl.CallClass;
+import wingspread.control.CallControl.Effect;
+import wingspread.control.CallControl.Layout;
+import wingspread.control.CallControl.Obligations;
+import wingspread.control.CallControl.RepeatGroup;
+import wingspread.control.CallControl.Reports;
+import wingspread.control.CallControl.Settings;
+import wingspread.lab.measure.Service;
+import wingspread.lab.measure.Tally;
+import wingspread.lab.rules.Breach;
+import wingspread.lab.rules.RuleBook;
+import wingspread.lab.scenario.Day;
+import wingspread.lab.sim.Streams;
+import wingspread.lab.sim.VirtualTime;
+
+/**
+ * One run of the model: a day, the softswitches that meet it, and what came of it. Confined to one thread; the same
+ * day, streams and softswitches give the same run to the last bit.
+ */
+public final class Model {
+    /** Where the clock starts; anything but 0, so that a time taken for a duration shows. */
+    private static final long START = 1_000_000_000;
+    /** After the last caller has waited, for what is still on its way. */
+    private static final long RUN_OUT = 2_000_000;
+    private static final long LONGEST_HOLDING = 40;
+
+    /** What came of a run; {@code happened} counts the model's events. */
+    public record Run(Service service, List<Breach> breaches, long breachCount, long calls, long happened) { }
+
+    private final Day day;
+    private final Streams streams;
+    private final VirtualTime time = new VirtualTime(START);
+    private final RuleBook rules;
+    private final Tally tally;
+    private final Network network;
+    private final Traffic traffic;
+
+    /** Sets a run up; {@code controllerSeeds} gives the softswitches their own randomness. */
+    public Model(Day day, Streams streams, Streams controllerSeeds, Controller.Maker maker) {
+        this.day = day;
+        this.streams = streams;
+        Obligations obligations = obligations(day);
+        this.rules = new RuleBook(obligations, day.rules().maxAttempts(), day.rules().release(), START);
+        this.tally = new Tally(day);
+        this.network = new Network(day, streams, time, rules, tally);
+        this.traffic = new Traffic(network, streams);
+        traffic.buildGroups();
+        for (Node node : network.nodes()) {
+            long address = node.place + 1L;
+            network.name(node, address);
+            node.attach(maker.make(time, settings(node, obligations), controllerSeeds.seedOf("softswitch", node.place),
+                    node), address);
+        }
+        Directory directory = new Directory(network, streams);
+        network.listedBy(directory);
+        directory.begin();
+        new Troubles(network, traffic, directory, streams).begin();
+    }
+
+    private static Obligations obligations(Day day) {
+        Day.Rules r = day.rules();
+        return new Obligations(r.answerGrace(), r.drainGrace(), 0, r.coldShare(), r.cold(), r.fallMultiple(), r.fall());
+    }
+
+    private Settings settings(Node node, Obligations obligations) {
+        List<CallClass> classes = day.classes().stream().map(c -> new CallClass(c.name(), c.aim(), c.deadline(),
+                c.worth(), c.lateWorth(), c.width(), c.holding(), Effect.SAFE, RepeatGroup.ALL, 0, List.of())).toList();
+        return new Settings(Layout.NETWORK, node.place, node.region, node.place, day.fleet().exchanges(), classes,
+                false, Reports.PIGGYBACK, false, false, true, false, false, true, day.callers().mostWait(),
+                day.rules().maxAttempts(), day.rules().release(), 0, obligations);
+    }
+
+    /** Plays the day and lets every caller have an answer. */
+    public Run play() {
+        sampleLoads();
+        traffic.begin();
+        long longest = day.classes().stream().mapToLong(Day.ClassOfCall::deadline).max().orElse(0);
+        time.runUntil(START + day.length() + 2 * longest + RUN_OUT);
+        rules.close(time.getAsLong());
+        return new Run(tally.service(), rules.breaches(), rules.counted(), traffic.arrivals(), time.happened());
+    }
+
+    /** Lets every call end after the day, and counts the circuits that are still busy; there should be none. */
+    public int busyAfterAll() {
+        long longest = day.classes().stream().mapToLong(Day.ClassOfCall::holding).max().orElse(0);
+        time.runUntil(time.getAsLong() + LONGEST_HOLDING * longest);
+        List<Node> nodes = network.nodes();
+        return IntStream.range(0, nodes.size() * nodes.size()).filter(i -> i / nodes.size() < i % nodes.size())
+                .map(i -> network.group(nodes.get(i / nodes.size()), nodes.get(i % nodes.size())).busy()).sum();
+    }
+
+    private void sampleLoads() {
+        UniformRandomProvider phase = streams.stream("report phase");
+        for (Node node : network.nodes()) {
+            sampleLater(node, START + Math.round(phase.nextDouble() * day.reports().period()));
+        }
+    }
+
+    private void sampleLater(Node node, long at) {
+        if (at < START + day.length()) {
+            time.at(at, () -> {
+                node.sample(network.work(1));
+                sampleLater(node, at + day.reports().period());
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/lab/world/Offer.java
@@ -0,0 +1,69 @@
+package wingspread.lab.world;
+
+import wingspread.core.Caller;
+import wingspread.core.Request;
+import wingspread.lab.rules.Taken;
+
+/** A call as one softswitch has taken it. It hears the softswitch's answer, and tells the rules of it. */
+abstract class Offer implements Caller {
+    final Node at;
+    final Request request;
+    final Taken taken;
+    /** The attempt that was sent last. */
+    Leg leg;
+    /** The last attempt was refused by a full processor. */
+    boolean lastWasFull;
+    /** Its caller has been answered, has gone, or was told that the call is over. */
+    boolean closed;
+
+    Offer(Node at, Request request, Taken taken) {
+        this.at = at;
+        this.request = request;
+        this.taken = taken;
+    }
+
+    @Override
+    public final void stands(byte[] description) {
+        at.network.rules().answered(taken, at.network.now());
+        stood();
+    }
+
+    @Override
+    public final void refused(long wait) {
+        at.network.rules().answered(taken, at.network.now());
+        close();
+        turnedAway(wait);
+    }
+
+    @Override
+    public final void failed() {
+        at.network.rules().answered(taken, at.network.now());
+        close();
+        turnedAway(0);
+    }
+
+    @Override
+    public final void over(int cause) {
+        close();
+        ended(cause);
+    }
+
+    private void close() {
+        closed = true;
+        at.forgetIfDone(this);
+    }
+
+    @Override
+    public boolean outlivesRestart() {
+        return true;
+    }
+
+    /** The call stands. */
+    abstract void stood();
+
+    /** The call was refused or failed; the wait is that of the advice, 0 for none. */
+    abstract void turnedAway(long wait);
+
+    /** The call that stood is over. */
+    abstract void ended(int cause);
+}
--- /dev/null
+++ b/src/main/java/wingspread/lab/world/Traffic.java
@@ -0,0 +1,221 @@
+package wingspread.lab.world;
+
+import java.util.List;
+import java.util.Locale;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+import wingspread.lab.scenario.Day;
+import wingspread.lab.sim.Streams;
+
+/**
+ * Who calls whom, when and for how long: a Poisson stream whose rate follows the load, thinned (Lewis and Shedler
+ * 1979), so that each candidate draws the same numbers whatever the rate is.
+ */
+final class Traffic {
+    /** Thinning needs a bound; surges and swings beyond this many times the planned rate are cut there. */
+    private static final double MOST_TIMES = 6;
+
+    private final Network network;
+    private final Day day;
+    private final Streams streams;
+    private final UniformRandomProvider draws;
+    private final ZigguratSampler.Exponential exponential;
+    private final double[][] planned;
+    private final double[][] usual;
+    private final double[][] now;
+    private final double baseRate;
+    private final int n;
+    private double surge = 1;
+    private int[] hotCallers = new int[0];
+    private double hotCallerShare;
+    private double hotNumberShare;
+    private int hotDestination;
+    private String hotNumber = "";
+    private long arrivals;
+
+    Traffic(Network network, Streams streams) {
+        this.network = network;
+        this.day = network.day();
+        this.streams = streams;
+        this.draws = streams.stream("calls");
+        this.exponential = ZigguratSampler.Exponential.of(draws);
+        this.n = day.fleet().exchanges();
+        this.planned = new double[n][n];
+        this.usual = new double[n][n];
+        this.now = new double[n][n];
+        this.baseRate = day.load().level() * n * day.fleet().erlangs() / circuitTime(day.classes());
+        plan();
+        drift(0);
+    }
+
+    /** Mean circuits times holding time of a call, in microseconds. */
+    static double circuitTime(List<Day.ClassOfCall> classes) {
+        double parts = classes.stream().mapToDouble(Day.ClassOfCall::part).sum();
+        return classes.stream().mapToDouble(c -> c.part() / parts * c.width() * c.holding()).sum();
+    }
+
+    private void plan() {
+        UniformRandomProvider random = streams.stream("plan");
+        Day.Fleet fleet = day.fleet();
+        for (int a = 0; a < n; a++) {
+            for (int b = 0; b < n; b++) {
+                boolean local = network.nodes().get(a).region == network.nodes().get(b).region;
+                double plan = a == b ? 0 : (local ? fleet.local() : 1) * spread(random, fleet.pairSpread());
+                planned[a][b] = plan;
+                usual[a][b] = plan * spread(random, fleet.missed());
+            }
+        }
+        for (int a = 0; a < n; a++) {
+            normalise(planned[a]);
+            normalise(usual[a]);
+        }
+    }
+
+    /** A factor of mean 1 with a variation coefficient, lognormal. */
+    private static double spread(UniformRandomProvider random, double cv) {
+        double variance = Math.log1p(cv * cv);
+        double normal = ZigguratSampler.NormalizedGaussian.of(random).sample();
+        return Math.exp(Math.sqrt(variance) * normal - variance / 2);
+    }
+
+    private static void normalise(double[] row) {
+        double sum = 0;
+        for (double value : row) {
+            sum += value;
+        }
+        for (int i = 0; i < row.length; i++) {
+            row[i] = sum > 0 ? row[i] / sum : 0;
+        }
+    }
+
+    /** Sizes the groups for the plan. */
+    void buildGroups() {
+        for (int a = 0; a < n; a++) {
+            for (int b = a + 1; b < n; b++) {
+                double load = day.fleet().erlangs() * (planned[a][b] + planned[b][a]);
+                int size = (int) Math.ceil(load + day.fleet().spare() * Math.sqrt(load));
+                network.join(a, b, new Group(Math.max(1, size)));
+            }
+        }
+    }
+
+    private void drift(int epoch) {
+        UniformRandomProvider random = streams.stream("drift", epoch);
+        for (int a = 0; a < n; a++) {
+            double sum = 0;
+            for (int b = 0; b < n; b++) {
+                sum += usual[a][b] * (epoch == 0 ? 1 : spread(random, day.load().driftSpread()));
+                now[a][b] = sum;
+            }
+            for (int b = 0; b < n; b++) {
+                now[a][b] /= sum;
+            }
+        }
+        if (day.load().driftTime() > 0) {
+            network.time().at(network.start() + (epoch + 1) * day.load().driftTime(), () -> drift(epoch + 1));
+        }
+    }
+
+    /** Starts calling. */
+    void begin() {
+        next();
+    }
+
+    private void next() {
+        long wait = (long) Math.max(1, exponential.sample() / (baseRate * MOST_TIMES));
+        if (network.now() + wait < network.start() + day.length()) {
+            network.time().in(wait, this::candidate);
+        }
+    }
+
+    /** Whether it calls or not, a candidate takes the same number of draws. */
+    private void candidate() {
+        boolean calls = draws.nextDouble() < rate() / MOST_TIMES;
+        double fromHot = draws.nextDouble();
+        int origin = draws.nextInt(n);
+        int hot = draws.nextInt(Integer.MAX_VALUE);
+        double whichClass = draws.nextDouble();
+        double where = draws.nextDouble();
+        double toHotNumber = draws.nextDouble();
+        long number = draws.nextLong();
+        double holding = exponential.sample();
+        long seed = draws.nextLong();
+        if (calls) {
+            if (fromHot < hotCallerShare) {
+                origin = hotCallers[hot % hotCallers.length];
+            }
+            boolean toHot = toHotNumber < hotNumberShare && origin != hotDestination;
+            int callClass = pickClass(whichClass);
+            Day.ClassOfCall kind = day.classes().get(callClass);
+            arrivals++;
+            new Subscriber(network, network.nodes().get(origin), callClass,
+                    toHot ? hotDestination : destination(origin, where),
+                    toHot ? hotNumber : String.format(Locale.ROOT, "%016x", number),
+                    Math.round(holding * kind.holding()), RandomSource.SPLIT_MIX_64.create(seed)).dial(false);
+        }
+        next();
+    }
+
+    /** The rate now, in planned rates. */
+    private double rate() {
+        double along = (network.now() - network.start()) / (double) day.length();
+        double swing = day.load().swing();
+        double shape = day.load().shape().equals("ramp") ? 1 - swing + 2 * swing * along
+                : 1 + swing * Math.sin(2 * Math.PI * along);
+        return shape * surge;
+    }
+
+    private int pickClass(double u) {
+        double parts = day.classes().stream().mapToDouble(Day.ClassOfCall::part).sum();
+        double sum = 0;
+        for (int i = 0; i < day.classes().size() - 1; i++) {
+            sum += day.classes().get(i).part() / parts;
+            if (u < sum) {
+                return i;
+            }
+        }
+        return day.classes().size() - 1;
+    }
+
+    /** Guards against the last rounding of a running sum, by which an exchange would call itself. */
+    private int destination(int origin, double u) {
+        int picked = pick(now[origin], u);
+        return picked == origin ? (origin + 1) % n : picked;
+    }
+
+    /** The first whose running sum lies above a number below 1. */
+    private static int pick(double[] sums, double u) {
+        int low = 0;
+        int high = sums.length - 1;
+        while (low < high) {
+            int middle = (low + high) >>> 1;
+            if (sums[middle] > u) {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        return low;
+    }
+
+    void surge(double factor) {
+        surge = factor;
+    }
+
+    void hotCallers(int[] places, double share) {
+        hotCallers = places;
+        hotCallerShare = share;
+    }
+
+    void hotNumber(int destination, String number, double share) {
+        hotDestination = destination;
+        hotNumber = number;
+        hotNumberShare = share;
+    }
+
+    /** Calls that have come in for the first time. */
+    long arrivals() {
+        return arrivals;
+    }
+}
--- a/src/main/java/wingspread/turn/Deadlines.java
+++ b/src/main/java/wingspread/turn/Deadlines.java
@@ -1,30 +1,94 @@
 package wingspread.turn;
 
-import java.util.Comparator;
-import java.util.PriorityQueue;
+import java.util.Arrays;
 
-/** Things to do at a time, in the order of their times and then of their adding. None can be taken back. */
+/**
+ * Things to do at a time, in the order of their times and then of their adding. None can be taken back. A binary
+ * heap in plain arrays: each entry costs no object of its own beside what is to be done.
+ */
 public final class Deadlines {
-    private record Entry(long at, long order, Runnable what) { }
+    private static final int FIRST_SIZE = 64;
 
-    private final PriorityQueue<Entry> entries = new PriorityQueue<>(
-            Comparator.comparingLong(Entry::at).thenComparingLong(Entry::order));
-    private long order;
+    private long[] at = new long[FIRST_SIZE];
+    private long[] order = new long[FIRST_SIZE];
+    private Runnable[] what = new Runnable[FIRST_SIZE];
+    private int size;
+    private long added;
 
     /** Adds something to do at a time. */
-    public void add(long at, Runnable what) {
-        entries.add(new Entry(at, order++, what));
+    public void add(long time, Runnable task) {
+        if (size == at.length) {
+            at = Arrays.copyOf(at, 2 * size);
+            order = Arrays.copyOf(order, 2 * size);
+            what = Arrays.copyOf(what, 2 * size);
+        }
+        int hole = size++;
+        long number = added++;
+        while (hole > 0) {
+            int parent = (hole - 1) / 2;
+            if (at[parent] <= time) {
+                break;
+            }
+            move(parent, hole);
+            hole = parent;
+        }
+        put(hole, time, number, task);
     }
 
-    /** Does all that is due. */
+    /** Does all that is due, what is added meanwhile included. */
     public void play(long now) {
         while (next() <= now) {
-            entries.remove().what().run();
+            removeFirst().run();
         }
     }
 
+    /** Does the first thing, whenever it is due; there must be one. */
+    public void playOne() {
+        removeFirst().run();
+    }
+
     /** When the next one is due; {@link Long#MAX_VALUE} for never. */
     public long next() {
-        return entries.isEmpty() ? Long.MAX_VALUE : entries.peek().at();
+        return size == 0 ? Long.MAX_VALUE : at[0];
+    }
+
+    private Runnable removeFirst() {
+        Runnable first = what[0];
+        int last = --size;
+        long time = at[last];
+        long number = order[last];
+        Runnable task = what[last];
+        what[last] = null;
+        if (last > 0) {
+            int hole = 0;
+            int child = 1;
+            while (child < last) {
+                if (child + 1 < last && before(child + 1, at[child], order[child])) {
+                    child++;
+                }
+                if (!before(child, time, number)) {
+                    break;
+                }
+                move(child, hole);
+                hole = child;
+                child = 2 * hole + 1;
+            }
+            put(hole, time, number, task);
+        }
+        return first;
+    }
+
+    private boolean before(int entry, long time, long number) {
+        return at[entry] < time || at[entry] == time && order[entry] < number;
+    }
+
+    private void move(int from, int to) {
+        put(to, at[from], order[from], what[from]);
+    }
+
+    private void put(int place, long time, long number, Runnable task) {
+        at[place] = time;
+        order[place] = number;
+        what[place] = task;
     }
 }
--- a/src/test/java/wingspread/LayersTest.java
+++ b/src/test/java/wingspread/LayersTest.java
@@ -48,8 +48,10 @@
 
     @Test
     void serveKnowsNothingOfTheLab() {
-        holds(noClasses().that().resideOutsideOfPackages("wingspread", "wingspread.cli..", "wingspread.lab..")
-                .should().dependOnClassesThat().resideInAnyPackage("wingspread.lab..", "picocli..",
+        holds(noClasses().that().resideOutsideOfPackages("wingspread", "wingspread.cli..", "wingspread.lab..",
+                "wingspread.toml..")
+                .should().dependOnClassesThat().resideInAnyPackage("wingspread.lab..", "wingspread.toml..",
+                        "wingspread.cli..", "picocli..",
                         "com.fasterxml.jackson..", "com.networknt..", "org.HdrHistogram..", "org.apache.commons.."));
     }
 }
--- /dev/null
+++ b/src/test/java/wingspread/cli/CliTest.java
@@ -0,0 +1,66 @@
+package wingspread.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
+
+/** The command line: what it prints and how it ends. */
+class CliTest {
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    private int run(String... args) {
+        CommandLine line = Cli.commandLine();
+        line.setOut(new PrintWriter(out));
+        line.setErr(new PrintWriter(err));
+        return line.execute(args);
+    }
+
+    private void complains(String about, String... args) {
+        assertEquals(Cli.USAGE, run(args));
+        String said = err.toString();
+        assertEquals(1, said.lines().count(), said);
+        assertTrue(said.startsWith("wingspread: ") && said.contains(about), said);
+        assertEquals("", out.toString());
+    }
+
+    @Test
+    void runPrintsALineForEachClassAndEndsWithZero() {
+        assertEquals(0, run("lab", "run", "--replications", "1", "--set", "length = '10s'"));
+        assertTrue(out.toString().contains("token-balance"), out.toString());
+        assertTrue(out.toString().contains("worst 10 s"), out.toString());
+        assertEquals("", err.toString());
+    }
+
+    @Test
+    void whatCannotBeTakenIsOneLineAndExitCodeTwo() {
+        complains("no-such", "lab", "run", "--scenario", "no-such");
+    }
+
+    @Test
+    void anUnknownSettingIsNamed() {
+        complains("levle", "lab", "run", "--set", "load.levle = 1");
+    }
+
+    @Test
+    void anUnknownOptionIsNamed() {
+        complains("--bogus", "lab", "run", "--bogus");
+    }
+
+    @Test
+    void withoutACommandItSaysSo() {
+        complains("--help");
+    }
+
+    @Test
+    void helpAndVersionGoToTheOutput() {
+        assertEquals(0, run("lab", "run", "--help"));
+        assertTrue(out.toString().contains("--replications"), out.toString());
+        assertEquals(0, run("--version"));
+        assertTrue(out.toString().contains("wingspread "), out.toString());
+    }
+}
