--- a/src/main/java/wingspread/lab/Experiment.java
+++ b/src/main/java/wingspread/lab/Experiment.java
@@ -34,6 +34,14 @@
         });
     }
 
+    public Scenario scenario() {
+        return scenario;
+    }
+
+    public long seed() {
+        return seed;
+    }
+
     /**
      * Plays one replication in this thread. Softswitches get the same randomness for the same {@code family}, and
      * independent one for another.
--- /dev/null
+++ b/src/main/java/wingspread/lab/compare/Comparer.java
@@ -0,0 +1,91 @@
+package wingspread.lab.compare;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
+import wingspread.lab.Experiment;
+import wingspread.lab.measure.Service;
+import wingspread.lab.world.Controller;
+import wingspread.lab.world.Model;
+
+/** Plays two variants on the same days, pair by pair, until the difference is known as well as asked. */
+public final class Comparer {
+    private static final double CONFIDENCE = 0.95;
+    private static final int MOST_BREACHES = 20;
+
+    /** A variant: its name and its softswitches; {@code family} other than 0 gives them randomness of their own. */
+    public record Variant(String name, Controller.Maker maker, int family) { }
+
+    private record Pair(Model.Run a, Model.Run b) { }
+
+    private final Experiment experiment;
+    private final Sampling sampling;
+    private final Consumer<Interval> progress;
+
+    /** A comparer; {@code progress} hears of the interval after each stage. */
+    public Comparer(Experiment experiment, Sampling sampling, Consumer<Interval> progress) {
+        this.experiment = experiment;
+        this.sampling = sampling;
+        this.progress = progress;
+    }
+
+    /** Compares; days are taken from a replication number on, so that comparisons can be repeated on fresh days. */
+    public Comparison compare(Variant a, Variant b, int firstReplication) {
+        List<Pair> pairs = new ArrayList<>();
+        Sampling.Step step = sampling.first();
+        int stages = 0;
+        while (step instanceof Sampling.Play play) {
+            pairs.addAll(experiment.each(firstReplication + pairs.size(), play.more(), n -> new Pair(
+                    experiment.play(n, a.maker(), a.family()), experiment.play(n, b.maker(), b.family()))));
+            Interval sofar = difference(pairs, Service::result, CONFIDENCE);
+            progress.accept(sofar);
+            step = sampling.next(++stages, sofar);
+        }
+        boolean narrow = step instanceof Sampling.Stop stop && stop.narrow();
+        return new Comparison(a.name(), b.name(), experiment.scenario().name(), experiment.seed(),
+                difference(pairs, Service::result, CONFIDENCE), mean(pairs, Pair::a, Service::result),
+                mean(pairs, Pair::b, Service::result), parts(pairs), narrow, stages,
+                pairs.stream().mapToLong(pair -> pair.a().calls() + pair.b().calls()).sum(), breaches(pairs));
+    }
+
+    private static Interval difference(List<Pair> pairs, ToDoubleFunction<Service> part, double confidence) {
+        return Interval.of(pairs.stream().mapToDouble(
+                pair -> part.applyAsDouble(pair.b().service()) - part.applyAsDouble(pair.a().service())).toArray(),
+                confidence);
+    }
+
+    private static double mean(List<Pair> pairs, Function<Pair, Model.Run> side,
+            ToDoubleFunction<Service> part) {
+        return pairs.stream().mapToDouble(pair -> part.applyAsDouble(side.apply(pair).service())).average().orElse(0);
+    }
+
+    /** Each part at the confidence that lets all of them hold together (Bonferroni). */
+    private static List<Comparison.Part> parts(List<Pair> pairs) {
+        List<String> names = new ArrayList<>(List.of("whole run", "worst 10 s", "worst class", "late failures",
+                "wasted work"));
+        List<ToDoubleFunction<Service>> parts = new ArrayList<>(List.of(Service::whole, Service::worstWindow,
+                Service::worstClass, s -> -s.lateFail(), s -> -s.waste()));
+        List<Service.ByClass> classes = pairs.get(0).a().service().classes();
+        IntStream.range(0, classes.size()).forEach(i -> {
+            names.add(classes.get(i).name());
+            parts.add(service -> service.classes().get(i).service());
+        });
+        double confidence = 1 - (1 - CONFIDENCE) / parts.size();
+        return IntStream.range(0, parts.size()).mapToObj(i -> new Comparison.Part(names.get(i),
+                mean(pairs, Pair::a, parts.get(i)), mean(pairs, Pair::b, parts.get(i)),
+                difference(pairs, parts.get(i), confidence))).toList();
+    }
+
+    private static List<String> breaches(List<Pair> pairs) {
+        List<String> out = new ArrayList<>();
+        for (int i = 0; i < pairs.size() && out.size() < MOST_BREACHES; i++) {
+            int day = i;
+            pairs.get(i).a().breaches().forEach(breach -> out.add("A on day " + day + ", " + breach));
+            pairs.get(i).b().breaches().forEach(breach -> out.add("B on day " + day + ", " + breach));
+        }
+        return out.subList(0, Math.min(out.size(), MOST_BREACHES));
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/lab/compare/Setting.java
@@ -0,0 +1,59 @@
+package wingspread.lab.compare;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import wingspread.control.Figures;
+import wingspread.control.NamedFigures.Figure;
+import wingspread.control.NamedFigures.Unit;
+import wingspread.toml.Duration;
+import wingspread.toml.TomlException;
+import wingspread.toml.TomlFile;
+
+/** A setting of the module: the usual figures, but for those that a file or a line gives otherwise. */
+public record Setting(String name, Figures figures) {
+    private static final String SCHEMA = "/wingspread/lab/setting.schema.json";
+    private static final String USUAL = "usual";
+
+    /**
+     * A setting as people name it: {@code usual}, a TOML file, or {@code figure=value} pairs with commas between.
+     *
+     * @throws TomlException where it cannot be taken
+     */
+    public static Setting named(String text) {
+        if (text.equals(USUAL)) {
+            return new Setting(USUAL, Figures.USUAL);
+        }
+        if (!text.contains("=")) {
+            return of(text, TomlFile.read(Path.of(text), SCHEMA));
+        }
+        StringBuilder toml = new StringBuilder("[figures]\n");
+        for (String pair : text.split(",")) {
+            toml.append(pair.replaceFirst("=\\s*([0-9.]+[a-z]+)\\s*$", "= \"$1\"")).append('\n');
+        }
+        return of(text, TomlFile.parse(toml.toString(), text, SCHEMA));
+    }
+
+    private static Setting of(String name, ObjectNode tree) {
+        Map<String, Double> given = new HashMap<>();
+        tree.path("figures").properties().forEach(entry -> given.put(entry.getKey(), value(name, entry)));
+        try {
+            return new Setting(name, new Figures(given));
+        } catch (IllegalArgumentException e) {
+            throw new TomlException(name + ": figures." + e.getMessage());
+        }
+    }
+
+    /** Times are told with their unit, all else without one. */
+    private static double value(String name, Map.Entry<String, JsonNode> entry) {
+        boolean isTime = Figures.USUAL.all().stream().filter(f -> f.name().equals(entry.getKey())).map(Figure::unit)
+                .anyMatch(Unit.MICROSECONDS::equals);
+        if (isTime != entry.getValue().isTextual()) {
+            throw new TomlException(name + ": figures." + entry.getKey() + " = " + entry.getValue() + "; "
+                    + (isTime ? "a time with its unit, as in \"250ms\"," : "a number") + " was expected");
+        }
+        return isTime ? Duration.parse(entry.getValue().textValue()).micros() : entry.getValue().doubleValue();
+    }
+}
--- a/src/main/java/wingspread/lab/world/Subscriber.java
+++ b/src/main/java/wingspread/lab/world/Subscriber.java
@@ -1,6 +1,6 @@
 package wingspread.lab.world;
 
-import java.util.Locale;
+import java.util.HexFormat;
 import org.apache.commons.rng.UniformRandomProvider;
 import wingspread.core.Event;
 import wingspread.core.Planner;
@@ -57,7 +57,7 @@
             left = Math.round(habits.patience() * kind.deadline());
         }
         boolean redial = tries > 0;
-        String id = String.format(Locale.ROOT, "%016x", network.nextCallId());
+        String id = HexFormat.of().toHexDigits(network.nextCallId());
         Request request = new Request(id, kind.name(), callClass, number, DESCRIPTION, now + left, destination,
                 kind.width(), -1, redial && habits.marked(), false, cut);
         Try attempt = new Try(origin, request, network.rules().taken(id, origin.place, request.deadline(), -1));
--- a/src/main/java/wingspread/lab/world/Traffic.java
+++ b/src/main/java/wingspread/lab/world/Traffic.java
@@ -1,7 +1,7 @@
 package wingspread.lab.world;
 
 import java.util.List;
-import java.util.Locale;
+import java.util.HexFormat;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import org.apache.commons.rng.simple.RandomSource;
@@ -151,7 +151,7 @@
             arrivals++;
             new Subscriber(network, network.nodes().get(origin), callClass,
                     toHot ? hotDestination : destination(origin, where),
-                    toHot ? hotNumber : String.format(Locale.ROOT, "%016x", number),
+                    toHot ? hotNumber : HexFormat.of().toHexDigits(number),
                     Math.round(holding * kind.holding()), RandomSource.SPLIT_MIX_64.create(seed)).dial(false);
         }
         next();
--- a/src/main/java/wingspread/lab/world/Troubles.java
+++ b/src/main/java/wingspread/lab/world/Troubles.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
+import java.util.HexFormat;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import wingspread.lab.scenario.Trouble;
@@ -44,7 +44,7 @@
             int[] places = some(random, t.exchanges()).stream().mapToInt(node -> node.place).toArray();
             between(t, () -> traffic.hotCallers(places, t.share()), () -> traffic.hotCallers(new int[0], 0));
         } else if (trouble instanceof Trouble.HotNumber t) {
-            String number = String.format(Locale.ROOT, "%016x", random.nextLong());
+            String number = HexFormat.of().toHexDigits(random.nextLong());
             int destination = random.nextInt(network.nodes().size());
             between(t, () -> {
                 network.hotLines().of(number, t.lines());
--- a/src/test/java/wingspread/cli/CliTest.java
+++ b/src/test/java/wingspread/cli/CliTest.java
@@ -3,9 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
 
 /** The command line: what it prints and how it ends. */
@@ -36,6 +40,21 @@
         assertEquals("", err.toString());
     }
 
+    @Test
+    void compareEndsWithOneSentenceAndItsExitCode(@TempDir Path folder) throws IOException {
+        Path json = folder.resolve("found.json");
+        assertEquals(4, run("lab", "compare", "--set", "length = '20s'", "--b", "window-max=2,window-gain=0",
+                "--pilot", "4", "--budget", "8", "--json", json.toString()));
+        String last = out.toString().lines().reduce((one, next) -> next).orElse("");
+        assertTrue(last.startsWith("B gives worse service than A: -"), out.toString());
+        assertTrue(Files.readString(json).contains("\"verdict\" : \"WORSE\""));
+    }
+
+    @Test
+    void aPilotBeyondTheBudgetIsTurnedAway() {
+        complains("pilot 8", "lab", "compare", "--pilot", "8", "--budget", "4");
+    }
+
     @Test
     void whatCannotBeTakenIsOneLineAndExitCodeTwo() {
         complains("no-such", "lab", "run", "--scenario", "no-such");
--- /dev/null
+++ b/src/test/java/wingspread/lab/compare/CompareTest.java
@@ -0,0 +1,129 @@
+package wingspread.lab.compare;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wingspread.control.Figures;
+import wingspread.lab.Experiment;
+import wingspread.lab.compare.Comparer.Variant;
+import wingspread.lab.compare.Comparison.Verdict;
+import wingspread.lab.scenario.Scenario;
+import wingspread.lab.world.PlannerController;
+import wingspread.toml.TomlException;
+
+/** Intervals, stopping, and verdicts on pairs whose difference is known. */
+class CompareTest {
+    private static Variant planner(String setting, int family) {
+        return new Variant(setting, PlannerController.with(Setting.named(setting).figures()), family);
+    }
+
+    private static Comparison compare(Variant a, Variant b, int budget, double width) {
+        Scenario scenario = Scenario.named("usual").with("length = '20s'");
+        try (Experiment experiment = new Experiment(scenario, 4, 2)) {
+            return new Comparer(experiment, new Sampling(8, budget, width), sofar -> { }).compare(a, b, 0);
+        }
+    }
+
+    @Test
+    void anIntervalIsTheOneInTheBooks() {
+        // Four values of mean 2.5 and deviation 1.291; Student's t for 3 degrees of freedom is 3.182.
+        Interval interval = Interval.of(new double[] {1, 2, 3, 4}, 0.95);
+        assertEquals(2.5, interval.mean(), 1e-9);
+        assertEquals(3.182 * 1.291 / 2, interval.half(), 1e-3);
+        assertEquals(Double.POSITIVE_INFINITY, Interval.of(new double[] {1}, 0.95).half());
+    }
+
+    @Property(tries = 500, seed = "41")
+    void samplingEndsWithinItsBudgetAndSaysWhetherItWasEnough(@ForAll @IntRange(min = 2, max = 50) int pilot,
+            @ForAll @IntRange(max = 500) int more, @ForAll @DoubleRange(min = 0.01, max = 1) double asked,
+            @ForAll @DoubleRange(max = 3) double deviation) {
+        Sampling sampling = new Sampling(pilot, pilot + more, asked);
+        Sampling.Step step = sampling.first();
+        int n = 0;
+        int stages = 0;
+        double half = Double.NaN;
+        while (step instanceof Sampling.Play play) {
+            assertTrue(play.more() > 0 && stages < 200, "stage " + stages + " plays " + play.more());
+            n += play.more();
+            half = 2 * deviation / Math.sqrt(n);
+            step = sampling.next(++stages, new Interval(0, half, deviation, n));
+        }
+        assertTrue(n <= pilot + more);
+        assertEquals(half <= asked, ((Sampling.Stop) step).narrow());
+        assertTrue(half <= asked || n == pilot + more);
+    }
+
+    @Property(tries = 100, seed = "42")
+    void howMuchIsPlayedHangsOnTheSpreadAlone(@ForAll @DoubleRange(min = -9, max = 9) double mean,
+            @ForAll @DoubleRange(max = 0.1) double half) {
+        Sampling sampling = new Sampling(8, 100, 0.01);
+        assertEquals(sampling.next(2, new Interval(0, half, 1, 20)), sampling.next(2, new Interval(mean, half, 1, 20)));
+    }
+
+    @Test
+    void oneStageIsNeverEnough() {
+        assertTrue(new Sampling(8, 100, 1).next(1, new Interval(0, 0.1, 1, 8)) instanceof Sampling.Play);
+    }
+
+    @Test
+    void aVariantAgainstItselfDiffersByNothing() {
+        Comparison found = compare(planner("usual", 0), planner("usual", 0), 24, 0.01);
+        assertEquals(0, found.service().mean());
+        assertEquals(Verdict.NO_DIFFERENCE, found.verdict());
+    }
+
+    @Test
+    void aSettingThatCostsServiceIsWorseAndTheOtherWayRoundBetter() {
+        Variant hardlyAny = planner("own-window-start=1,window-max=2,window-gain=0", 0);
+        Comparison worse = compare(planner("usual", 0), hardlyAny, 24, 0.01);
+        assertEquals(Verdict.WORSE, worse.verdict());
+        assertTrue(worse.sentence().startsWith("B gives worse service"), worse.sentence());
+        Comparison better = compare(hardlyAny, planner("usual", 0), 24, 0.01);
+        assertEquals(Verdict.BETTER, better.verdict());
+        assertEquals(-worse.service().mean(), better.service().mean(), 1e-12);
+    }
+
+    @Test
+    void aBudgetTooSmallIsSaid() {
+        Comparison found = compare(planner("usual", 0), planner("usual", 1), 8, 1e-6);
+        assertEquals(Verdict.UNDECIDED, found.verdict());
+        assertEquals(8, found.service().n());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "window-begin=3 | no figure 'window-begin'", "window-start=-3 | window-start=-3",
+        "silent-gap=500 | a time with its unit", "window-start=3s | a number", "missing.toml | cannot be read"})
+    void aSettingThatCannotBeTakenIsNamed(String setting, String why) {
+        String message = assertThrows(TomlException.class, () -> Setting.named(setting)).getMessage();
+        assertTrue(message.contains(why) && message.indexOf('\n') < 0, message);
+    }
+
+    @Test
+    void timesInASettingAreMicrosecondsInTheFigures() {
+        Figures figures = Setting.named("silent-gap=250ms,silent-gap-max=3s,tandems=1").figures();
+        assertEquals(250_000, value(figures, "silent-gap"));
+        assertEquals(3_000_000, value(figures, "silent-gap-max"));
+        assertEquals(1, value(figures, "tandems"));
+    }
+
+    private static double value(Figures figures, String name) {
+        return figures.all().stream().filter(f -> f.name().equals(name)).findFirst().orElseThrow().value();
+    }
+
+    @Test
+    void calibrationGivesTheExactInterval() {
+        // Clopper and Pearson for 10 of 200.
+        Calibration found = Calibration.of(200, 10, 24);
+        assertEquals(0.0242, found.low(), 1e-4);
+        assertEquals(0.0900, found.high(), 1e-4);
+    }
+}
