--- a/src/main/java/wingspread/cli/Cli.java
+++ b/src/main/java/wingspread/cli/Cli.java
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Spec;
+import wingspread.lab.host.HostException;
 import wingspread.toml.TomlException;
 
 /** The command line: what {@code serve} and {@code wirehost} alone do not need. */
@@ -32,7 +33,7 @@
         line.setCaseInsensitiveEnumValuesAllowed(true);
         line.setParameterExceptionHandler((e, args) -> complain(e.getCommandLine(), e.getMessage()));
         line.setExecutionExceptionHandler((e, command, result) -> {
-            if (e instanceof TomlException) {
+            if (e instanceof TomlException || e instanceof HostException) {
                 return complain(command, e.getMessage());
             }
             throw e;
--- a/src/main/java/wingspread/cli/LabCalibrate.java
+++ b/src/main/java/wingspread/cli/LabCalibrate.java
@@ -15,7 +15,8 @@
 import wingspread.lab.compare.Comparer.Variant;
 import wingspread.lab.compare.Comparison;
 import wingspread.lab.compare.Sampling;
-import wingspread.lab.world.PlannerController;
+import wingspread.lab.host.PlannerController;
+import wingspread.lab.host.SoftswitchPool;
 
 /** Compares the usual setting with itself, again and again, to see how often a difference is declared. */
 @Command(name = "calibrate", mixinStandardHelpOptions = true, versionProvider = Version.class,
@@ -45,16 +46,17 @@
 
     @Override
     public Integer call() {
-        options.quietModules();
+        new QuietModules().apply();
         PrintWriter out = spec.commandLine().getOut();
         long before = System.nanoTime();
         int declared = 0;
         long pairs = 0;
-        try (Experiment experiment = new Experiment(options.scenario(), options.seed(), options.threads())) {
+        try (Experiment experiment = new Experiment(options.scenario(), options.seed(), options.threads());
+                SoftswitchPool pool = SoftswitchPool.local(PlannerController.with(Figures.USUAL))) {
             Comparer comparer = new Comparer(experiment, new Sampling(pilot, budget, width), interval -> { });
             for (int i = 0; i < comparisons; i++) {
-                Comparison found = comparer.compare(new Variant("A", PlannerController.with(Figures.USUAL), 0),
-                        new Variant("A again", PlannerController.with(Figures.USUAL), 1), i * budget);
+                Comparison found = comparer.compare(new Variant("A", pool, 0), new Variant("A again", pool, 1),
+                        i * budget);
                 declared += found.service().excludesZero() ? 1 : 0;
                 pairs += found.service().n();
             }
--- a/src/main/java/wingspread/cli/LabCompare.java
+++ b/src/main/java/wingspread/cli/LabCompare.java
@@ -22,9 +22,11 @@
 import wingspread.lab.compare.Interval;
 import wingspread.lab.compare.Sampling;
 import wingspread.lab.compare.Setting;
-import wingspread.lab.world.PlannerController;
+import wingspread.lab.host.PlannerController;
+import wingspread.lab.host.RemoteSoftswitches;
+import wingspread.lab.host.SoftswitchPool;
 
-/** Compares two settings on the same days. */
+/** Compares two settings, or two versions, on the same days. */
 @Command(name = "compare", mixinStandardHelpOptions = true, versionProvider = Version.class,
         description = "Says whether service gets better or worse from A to B, by how much, and how sure that is.",
         exitCodeListHeading = "Exit codes:%n", exitCodeList = {"0:no difference found", "1:a rule was broken",
@@ -45,6 +47,13 @@
     @Option(names = "--b", defaultValue = "usual", paramLabel = "SETTING", description = "the same for B")
     private String b;
 
+    @Option(names = "--jar-a", paramLabel = "JAR",
+            description = "another built jar of this program, whose softswitches A runs with")
+    private Path jarA;
+
+    @Option(names = "--jar-b", paramLabel = "JAR", description = "the same for B")
+    private Path jarB;
+
     @Option(names = "--width", defaultValue = "0.005", paramLabel = "SHARE",
             description = "half the width of the 95%% interval that is asked for (default: 0.005)")
     private double width;
@@ -67,15 +76,17 @@
 
     @Override
     public Integer call() throws IOException {
-        options.quietModules();
+        new QuietModules().apply();
         Setting settingA = Setting.named(a);
         Setting settingB = Setting.named(b);
         PrintWriter out = spec.commandLine().getOut();
         long before = System.nanoTime();
-        try (Experiment experiment = new Experiment(options.scenario(), options.seed(), options.threads())) {
+        try (Experiment experiment = new Experiment(options.scenario(), options.seed(), options.threads());
+                SoftswitchPool poolA = pool(settingA, jarA);
+                SoftswitchPool poolB = pool(settingB, jarB)) {
             Comparison found = new Comparer(experiment, sampling(), this::progress).compare(
-                    new Variant(settingA.name(), PlannerController.with(settingA.figures()), 0),
-                    new Variant(settingB.name(), PlannerController.with(settingB.figures()), freshLuck ? 1 : 0), 0);
+                    new Variant(name(settingA, jarA), poolA, 0),
+                    new Variant(name(settingB, jarB), poolB, freshLuck ? 1 : 0), 0);
             print(out, found);
             out.printf(Locale.ROOT, "%d pairs in %d stages, %d calls, %.1f s%n", found.service().n(), found.stages(),
                     found.calls(), (System.nanoTime() - before) / 1e9);
@@ -88,6 +99,15 @@
         }
     }
 
+    private static SoftswitchPool pool(Setting setting, Path jar) {
+        return jar == null ? SoftswitchPool.local(PlannerController.with(setting.figures()))
+                : new SoftswitchPool(() -> RemoteSoftswitches.start(jar, setting.figures()));
+    }
+
+    private static String name(Setting setting, Path jar) {
+        return setting.name() + (jar == null ? "" : " on " + jar);
+    }
+
     private void write(Comparison found) throws IOException {
         ObjectMapper mapper = new ObjectMapper();
         ObjectNode tree = mapper.valueToTree(found);
--- a/src/main/java/wingspread/cli/LabOptions.java
+++ b/src/main/java/wingspread/cli/LabOptions.java
@@ -5,8 +5,6 @@
 
 /** What all commands of the laboratory take. */
 final class LabOptions {
-    private static final String MODULE_LOG = "org.slf4j.simpleLogger.log.wingspread.core.Planner";
-
     @Option(names = "--scenario", defaultValue = "usual", paramLabel = "NAME|FILE",
             description = "a shipped scenario or a TOML file (default: ${DEFAULT-VALUE})")
     private String scenario;
@@ -21,13 +19,6 @@
     @Option(names = "--threads", description = "replications played side by side (default: one for each core)")
     private int threads = Runtime.getRuntime().availableProcessors();
 
-    /** The modules' own lines tell of one softswitch each; with hundreds of them, and many days, nobody reads them. */
-    void quietModules() {
-        if (System.getProperty(MODULE_LOG) == null) {
-            System.setProperty(MODULE_LOG, "off");
-        }
-    }
-
     Scenario scenario() {
         Scenario read = Scenario.named(scenario);
         return more.length == 0 ? read : read.with(String.join("\n", more));
--- a/src/main/java/wingspread/cli/LabRun.java
+++ b/src/main/java/wingspread/cli/LabRun.java
@@ -11,11 +11,12 @@
 import picocli.CommandLine.Spec;
 import wingspread.control.Figures;
 import wingspread.lab.Experiment;
+import wingspread.lab.host.PlannerController;
+import wingspread.lab.host.SoftswitchPool;
 import wingspread.lab.measure.Service;
 import wingspread.lab.rules.Breach;
 import wingspread.lab.scenario.Scenario;
 import wingspread.lab.world.Model;
-import wingspread.lab.world.PlannerController;
 
 /** Plays a scenario and prints what came of it for each class. */
 @Command(name = "run", mixinStandardHelpOptions = true, versionProvider = Version.class,
@@ -34,13 +35,14 @@
 
     @Override
     public Integer call() {
-        options.quietModules();
+        new QuietModules().apply();
         Scenario scenario = options.scenario();
         PrintWriter out = spec.commandLine().getOut();
         long before = System.nanoTime();
-        try (Experiment experiment = new Experiment(scenario, options.seed(), options.threads())) {
+        try (Experiment experiment = new Experiment(scenario, options.seed(), options.threads());
+                SoftswitchPool pool = SoftswitchPool.local(PlannerController.with(Figures.USUAL))) {
             List<Model.Run> runs = experiment.each(0, Math.max(1, replications),
-                    n -> experiment.play(n, PlannerController.with(Figures.USUAL), 0));
+                    n -> pool.with(s -> experiment.play(n, s, 0)));
             out.printf(Locale.ROOT, "%s: %s%n", scenario.name(), scenario.about());
             print(out, runs);
             double seconds = (System.nanoTime() - before) / 1e9;
--- a/src/main/java/wingspread/cli/Version.java
+++ b/src/main/java/wingspread/cli/Version.java
@@ -6,7 +6,11 @@
 final class Version implements IVersionProvider {
     @Override
     public String[] getVersion() {
+        return new String[] {"wingspread " + program()};
+    }
+
+    static String program() {
         String version = Version.class.getPackage().getImplementationVersion();
-        return new String[] {"wingspread " + (version == null ? "(not packaged)" : version)};
+        return version == null ? "(not packaged)" : version;
     }
 }
--- a/src/main/java/wingspread/lab/Experiment.java
+++ b/src/main/java/wingspread/lab/Experiment.java
@@ -9,9 +9,9 @@
 import java.util.concurrent.Future;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
+import wingspread.lab.host.Softswitches;
 import wingspread.lab.scenario.Scenario;
 import wingspread.lab.sim.Streams;
-import wingspread.lab.world.Controller;
 import wingspread.lab.world.Model;
 
 /**
@@ -46,10 +46,10 @@
      * Plays one replication in this thread. Softswitches get the same randomness for the same {@code family}, and
      * independent one for another.
      */
-    public Model.Run play(int replication, Controller.Maker maker, int family) {
+    public Model.Run play(int replication, Softswitches softswitches, int family) {
         Streams streams = new Streams(seed, replication);
         Streams own = family == 0 ? streams : new Streams(streams.seedOf("family", family), replication);
-        return new Model(scenario.day(streams), streams, own, maker).play();
+        return new Model(scenario.day(streams), streams, own, softswitches).play();
     }
 
     /** Does something for each of the numbers from {@code from} on, side by side; results in their order. */
--- a/src/main/java/wingspread/lab/compare/Comparer.java
+++ b/src/main/java/wingspread/lab/compare/Comparer.java
@@ -7,8 +7,8 @@
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 import wingspread.lab.Experiment;
+import wingspread.lab.host.SoftswitchPool;
 import wingspread.lab.measure.Service;
-import wingspread.lab.world.Controller;
 import wingspread.lab.world.Model;
 
 /** Plays two variants on the same days, pair by pair, until the difference is known as well as asked. */
@@ -17,7 +17,7 @@
     private static final int MOST_BREACHES = 20;
 
     /** A variant: its name and its softswitches; {@code family} other than 0 gives them randomness of their own. */
-    public record Variant(String name, Controller.Maker maker, int family) { }
+    public record Variant(String name, SoftswitchPool softswitches, int family) { }
 
     private record Pair(Model.Run a, Model.Run b) { }
 
@@ -39,7 +39,7 @@
         int stages = 0;
         while (step instanceof Sampling.Play play) {
             pairs.addAll(experiment.each(firstReplication + pairs.size(), play.more(), n -> new Pair(
-                    experiment.play(n, a.maker(), a.family()), experiment.play(n, b.maker(), b.family()))));
+                    play(a, n), play(b, n))));
             Interval sofar = difference(pairs, Service::result, CONFIDENCE);
             progress.accept(sofar);
             step = sampling.next(++stages, sofar);
@@ -51,6 +51,10 @@
                 pairs.stream().mapToLong(pair -> pair.a().calls() + pair.b().calls()).sum(), breaches(pairs));
     }
 
+    private Model.Run play(Variant variant, int replication) {
+        return variant.softswitches().with(s -> experiment.play(replication, s, variant.family()));
+    }
+
     private static Interval difference(List<Pair> pairs, ToDoubleFunction<Service> part, double confidence) {
         return Interval.of(pairs.stream().mapToDouble(
                 pair -> part.applyAsDouble(pair.b().service()) - part.applyAsDouble(pair.a().service())).toArray(),
--- a/src/main/java/wingspread/lab/world/Controller.java
+++ b/src/main/java/wingspread/lab/host/Controller.java
@@ -1,4 +1,4 @@
-package wingspread.lab.world;
+package wingspread.lab.host;
 
 import java.util.function.LongSupplier;
 import wingspread.control.CallControl.Settings;
--- a/src/main/java/wingspread/lab/world/PlannerController.java
+++ b/src/main/java/wingspread/lab/host/PlannerController.java
@@ -1,4 +1,4 @@
-package wingspread.lab.world;
+package wingspread.lab.host;
 
 import wingspread.control.Figures;
 import wingspread.core.Event;
--- a/src/main/java/wingspread/lab/rules/RuleBook.java
+++ b/src/main/java/wingspread/lab/rules/RuleBook.java
@@ -94,6 +94,11 @@
         note(new Breach(Rule.ROUTE, call, place, now - start, "a set-up for a call or toward an exchange unknown"));
     }
 
+    /** An answer to a call that is closed or was never taken. */
+    public void answeredAstray(String call, int place, long now) {
+        note(new Breach(Rule.ONE_ANSWER, call, place, now - start, "an answer to a call that is not open"));
+    }
+
     /** An attempt ended, as the softswitch was told or has decided. */
     public void ended(Taken taken, Status status, long now) {
         taken.out = false;
--- a/src/main/java/wingspread/lab/world/Directory.java
+++ b/src/main/java/wingspread/lab/world/Directory.java
@@ -8,7 +8,7 @@
 import wingspread.control.CallControl.Exchange;
 import wingspread.control.CallControl.ListKind;
 import wingspread.control.CallControl.Readiness;
-import wingspread.core.Event;
+import wingspread.lab.host.Happening;
 import wingspread.lab.scenario.Day;
 import wingspread.lab.sim.Streams;
 
@@ -38,7 +38,7 @@
                     node.groupChanged(other);
                 }
             }
-            node.post(new Event.Listed(ListKind.CACHED, all));
+            node.post(new Happening.Listed(ListKind.CACHED, all));
         }
     }
 
@@ -78,6 +78,6 @@
         if (entry.readiness() == Readiness.READY && entry.upSince() == started.get(about)) {
             about.informed.add(node);
         }
-        node.post(new Event.Listed(ListKind.DELTA, List.of(entry)));
+        node.post(new Happening.Listed(ListKind.DELTA, List.of(entry)));
     }
 }
--- a/src/main/java/wingspread/lab/world/HotLines.java
+++ b/src/main/java/wingspread/lab/world/HotLines.java
@@ -14,7 +14,7 @@
 
     /** Whether the number that a set-up calls has a line free; it is taken. Other numbers have enough. */
     boolean takes(Leg leg) {
-        if (!leg.attempt.request().number().equals(number)) {
+        if (!leg.request().number().equals(number)) {
             return true;
         }
         if (busy >= lines) {
--- a/src/main/java/wingspread/lab/world/Leg.java
+++ b/src/main/java/wingspread/lab/world/Leg.java
@@ -1,11 +1,12 @@
 package wingspread.lab.world;
 
-import wingspread.core.Attempt;
+import wingspread.core.Request;
+import wingspread.lab.host.Effect;
 
 /** One attempt as the network carries it: from the exchange that sends it to the next one, and back. */
 final class Leg {
     final Offer offer;
-    final Attempt attempt;
+    final Effect.Invite attempt;
     final Node from;
     final Node to;
     final Group group;
@@ -22,17 +23,21 @@
     /** The call at the tandem that this leg goes on as, once it was taken there. */
     Transit onward;
 
-    Leg(Offer offer, Attempt attempt, Node from, Node to, Group group) {
+    Leg(Offer offer, Effect.Invite attempt, Node from, Node to, Group group) {
         this.offer = offer;
         this.attempt = attempt;
         this.from = from;
         this.to = to;
         this.group = group;
-        this.width = (int) Math.max(1, Math.round(attempt.request().width()));
+        this.width = (int) Math.max(1, Math.round(offer.request.width()));
     }
 
     String call() {
-        return attempt.request().id();
+        return offer.request.id();
+    }
+
+    Request request() {
+        return offer.request;
     }
 
     /** The tandem turned it back because the processor beyond was full. */
--- a/src/main/java/wingspread/lab/world/Model.java
+++ b/src/main/java/wingspread/lab/world/Model.java
@@ -10,6 +10,7 @@
 import wingspread.control.CallControl.RepeatGroup;
 import wingspread.control.CallControl.Reports;
 import wingspread.control.CallControl.Settings;
+import wingspread.lab.host.Softswitches;
 import wingspread.lab.measure.Service;
 import wingspread.lab.measure.Tally;
 import wingspread.lab.rules.Breach;
@@ -41,7 +42,7 @@
     private final Traffic traffic;
 
     /** Sets a run up; {@code controllerSeeds} gives the softswitches their own randomness. */
-    public Model(Day day, Streams streams, Streams controllerSeeds, Controller.Maker maker) {
+    public Model(Day day, Streams streams, Streams controllerSeeds, Softswitches softswitches) {
         this.day = day;
         this.streams = streams;
         Obligations obligations = obligations(day);
@@ -50,12 +51,9 @@
         this.network = new Network(day, streams, time, rules, tally);
         this.traffic = new Traffic(network, streams);
         traffic.buildGroups();
-        for (Node node : network.nodes()) {
-            long address = node.place + 1L;
-            network.name(node, address);
-            node.attach(maker.make(time, settings(node, obligations), controllerSeeds.seedOf("softswitch", node.place),
-                    node), address);
-        }
+        network.turnedBy(new Turns(time, softswitches, network.nodes(), day.tick()));
+        softswitches.begin(START, network.nodes().stream().map(node -> new Softswitches.Start(
+                settings(node, obligations), controllerSeeds.seedOf("softswitch", node.place))).toList());
         Directory directory = new Directory(network, streams);
         network.listedBy(directory);
         directory.begin();
--- a/src/main/java/wingspread/lab/world/Network.java
+++ b/src/main/java/wingspread/lab/world/Network.java
@@ -7,10 +7,10 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import wingspread.control.CallControl.Cause;
 import wingspread.control.CallControl.Status;
-import wingspread.core.Attempt;
-import wingspread.core.Event;
 import wingspread.core.Planner;
 import wingspread.core.Request;
+import wingspread.lab.host.Effect;
+import wingspread.lab.host.Happening;
 import wingspread.lab.measure.Tally;
 import wingspread.lab.rules.RuleBook;
 import wingspread.lab.scenario.Day;
@@ -38,6 +38,7 @@
     private final UniformRandomProvider jitter;
     private final UniformRandomProvider faults;
     private final HotLines hotLines = new HotLines();
+    private Turns turns;
     private Directory directory;
     private long reportsLater;
     private long calls;
@@ -55,8 +56,10 @@
         this.groups = new Group[n * n];
         for (int place = 0; place < n; place++) {
             Processor processor = new Processor(time, day.work().answersFirst(), tally::worked);
-            nodes.add(new Node(this, place, place % day.fleet().regions().size(), processor,
-                    streams.stream("report noise", place)));
+            Node node = new Node(this, place, place % day.fleet().regions().size(), place + 1L, processor,
+                    streams.stream("report noise", place));
+            nodes.add(node);
+            name(node, node.address());
         }
     }
 
@@ -73,11 +76,15 @@
         groups[b * nodes.size() + a] = group;
     }
 
+    void turnedBy(Turns when) {
+        turns = when;
+    }
+
     void listedBy(Directory names) {
         directory = names;
     }
 
-    void name(Node node, long address) {
+    private void name(Node node, long address) {
         byAddress.put(address, node);
     }
 
@@ -131,9 +138,9 @@
         return day.net().groupReport();
     }
 
-    /** When a softswitch acts on what happens at a time. */
-    long tickAfter(long at) {
-        return day.tick() == 0 ? at : (at + day.tick() - 1) / day.tick() * day.tick();
+    /** When softswitches take their turns. */
+    Turns turns() {
+        return turns;
     }
 
     void lateReports(long more) {
@@ -147,11 +154,11 @@
 
     // A set-up on its way.
 
-    void send(Node from, Offer offer, Attempt attempt) {
+    void send(Node from, Offer offer, Effect.Invite attempt) {
         Node to = byAddress.get(attempt.exchange());
         // What the model cannot carry is a broken rule of its own: no such call is open, or no such exchange exists.
         if (offer == null || to == null) {
-            rules.sentAstray(attempt.request().id(), from.place, now());
+            rules.sentAstray(attempt.call(), from.place, now());
             return;
         }
         rules.sent(offer.taken, attempt.exchange(), to.place, now());
@@ -195,7 +202,7 @@
             return;
         }
         leg.spent += setUpWork;
-        Request request = leg.attempt.request();
+        Request request = leg.request();
         if (day.work().faults() > 0 && faults.nextDouble() < day.work().faults()) {
             refuseBack(leg, Status.ERROR, Cause.NONE);
         } else if (leg.to.place != request.destination()) {
@@ -222,7 +229,7 @@
         leg.to.processor.answer(follow, () -> time.in(delay(leg), () -> leg.from.processor.answer(follow, () -> {
             if (!leg.over) {
                 leg.standing = true;
-                leg.from.post(new Event.Answered(leg.attempt.exchange(), leg.call(), DESCRIPTION));
+                leg.from.post(new Happening.Answered(leg.attempt.exchange(), leg.call()));
             }
         })));
     }
@@ -237,7 +244,7 @@
             rules.ended(leg.offer.taken, status, now());
             leg.offer.lastWasFull = cause == Cause.PROCESSOR_FULL;
             end(leg);
-            leg.from.post(new Event.Rejected(leg.attempt.exchange(), leg.call(), status, cause,
+            leg.from.post(new Happening.Rejected(leg.attempt.exchange(), leg.call(), status, cause,
                     leg.from.reportOf(leg.to, day.reports().delay() + reportsLater)));
         }
     }
@@ -246,7 +253,7 @@
         if (!leg.over) {
             rules.ended(leg.offer.taken, Status.CONNECT_FAILED, now());
             end(leg);
-            leg.from.post(new Event.Broken(leg.attempt, Status.CONNECT_FAILED));
+            leg.from.post(new Happening.Broken(leg.call(), leg.attempt.attempt(), Status.CONNECT_FAILED));
         }
     }
 
@@ -266,7 +273,7 @@
             }
         });
         leg.from.forgetIfDone(leg.offer);
-        onward(leg, () -> leg.to.post(new Event.GivenUp(leg.call(), leg.onward)));
+        onward(leg, () -> leg.to.post(new Happening.GivenUp(leg.call())));
     }
 
     // Ends of calls that stand.
@@ -285,7 +292,7 @@
     private void released(Leg leg, int cause) {
         if (!leg.over) {
             end(leg);
-            leg.from.post(new Event.Released(leg.attempt.exchange(), leg.call(), cause,
+            leg.from.post(new Happening.Released(leg.attempt.exchange(), leg.call(), cause,
                     leg.from.reportOf(leg.to, day.reports().delay() + reportsLater)));
         }
     }
@@ -295,7 +302,7 @@
         if (!leg.over) {
             end(leg);
             leg.to.processor.answer(work(day.work().follow()), () -> { });
-            onward(leg, () -> leg.to.post(new Event.CallerEnded(leg.call(), cause)));
+            onward(leg, () -> leg.to.post(new Happening.CallerEnded(leg.call(), cause)));
         }
     }
 
@@ -306,10 +313,10 @@
             changed(leg);
         } else if (leg.standing) {
             released(leg, Planner.CUT);
-            onward(leg, () -> leg.to.post(new Event.CallerEnded(leg.call(), Planner.CUT)));
+            onward(leg, () -> leg.to.post(new Happening.CallerEnded(leg.call(), Planner.CUT)));
         } else {
             refused(leg, Status.RESET, Cause.NONE);
-            onward(leg, () -> leg.to.post(new Event.GivenUp(leg.call(), leg.onward)));
+            onward(leg, () -> leg.to.post(new Happening.GivenUp(leg.call())));
         }
     }
 
--- a/src/main/java/wingspread/lab/world/Node.java
+++ b/src/main/java/wingspread/lab/world/Node.java
@@ -9,14 +9,12 @@
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import wingspread.control.CallControl.Report;
-import wingspread.control.CallControl.Status;
-import wingspread.core.Attempt;
-import wingspread.core.Event;
-import wingspread.core.Exchanges;
+import wingspread.lab.host.Effect;
+import wingspread.lab.host.Happening;
 import wingspread.lab.rules.Pushed;
 
-/** An exchange with its processor and its softswitch, which is hosted as it is in service. */
-final class Node implements Exchanges {
+/** An exchange with its processor, and what its softswitch hears and does. */
+final class Node {
     private static final int SNAPSHOTS = 64;
 
     /** What the processor's load was at a time, as its reports will tell it. */
@@ -33,26 +31,22 @@
     private final Set<Node> changed = new HashSet<>();
     private final ArrayDeque<Snapshot> snapshots = new ArrayDeque<>();
     private final UniformRandomProvider noise;
-    private Controller controller;
+    private List<Happening> inbox = new ArrayList<>();
     private long address;
-    private boolean turnAsked;
-    private long alarmAt = Long.MAX_VALUE;
+    /** When its softswitch takes its next turn; {@link Long#MAX_VALUE} where nothing asks for one. */
+    long turnAt = Long.MAX_VALUE;
     /** What the directory has told last, so that news never overtakes older news. */
     long toldUntil;
 
-    Node(Network network, int place, int region, Processor processor, UniformRandomProvider noise) {
+    Node(Network network, int place, int region, long address, Processor processor, UniformRandomProvider noise) {
         this.network = network;
         this.place = place;
         this.region = region;
+        this.address = address;
         this.processor = processor;
         this.noise = noise;
     }
 
-    void attach(Controller softswitch, long firstAddress) {
-        controller = softswitch;
-        address = firstAddress;
-    }
-
     long address() {
         return address;
     }
@@ -66,7 +60,7 @@
 
     void take(Offer offer) {
         offers.put(offer.request.id(), offer);
-        post(new Event.Offered(offer.request, offer));
+        post(new Happening.Offered(offer.request));
     }
 
     /** Forgets a call that is closed and has no attempt out or standing. */
@@ -76,52 +70,56 @@
         }
     }
 
-    /** A call that is open here, or null. */
-    Offer offer(String call) {
-        return offers.get(call);
-    }
-
-    void post(Event event) {
-        controller.post(event);
-        askTurn(network.tickAfter(network.now()));
+    /** Something happened that its softswitch hears of in its next turn. */
+    void post(Happening happening) {
+        inbox.add(happening);
+        network.turns().ask(this, network.now());
     }
 
     /** The circuits toward another exchange are others; it is told a little later, several changes in one. */
     void groupChanged(Node other) {
         if (changed.add(other)) {
-            askTurn(network.tickAfter(network.now() + network.groupReportDelay()));
-        }
-    }
-
-    private void askTurn(long at) {
-        if (!turnAsked || at < alarmAt) {
-            turnAsked = true;
-            setAlarm(at);
+            network.turns().ask(this, network.now() + network.groupReportDelay());
         }
     }
 
-    private void setAlarm(long at) {
-        if (at < alarmAt) {
-            alarmAt = at;
-            network.time().at(at, () -> {
-                if (alarmAt == at) {
-                    turn();
-                }
-            });
-        }
-    }
-
-    private void turn() {
-        alarmAt = Long.MAX_VALUE;
-        turnAsked = false;
+    /** All that has happened since the last turn. */
+    List<Happening> drain() {
+        List<Happening> out = inbox;
+        inbox = new ArrayList<>();
         for (Node other : orderly(changed)) {
-            controller.post(new Event.Reported(other.address, circuits(other)));
+            out.add(new Happening.Reported(other.address, circuits(other)));
         }
         changed.clear();
-        controller.turn();
-        long due = controller.nextDue();
-        if (due != Long.MAX_VALUE) {
-            setAlarm(network.tickAfter(Math.max(due, network.now())));
+        return out;
+    }
+
+    /** Carries out what its softswitch does. */
+    void carryOut(Effect effect) {
+        Offer offer = offers.get(effect.call());
+        if (effect instanceof Effect.Invite e) {
+            network.send(this, offer, e);
+        } else if (effect instanceof Effect.Withdraw e) {
+            if (offer != null && offer.leg != null && offer.leg.attempt.attempt() == e.attempt()) {
+                network.withdraw(offer.leg, e.status());
+            }
+        } else if (effect instanceof Effect.Release e) {
+            if (offer != null && offer.leg != null && offer.leg.to.address == e.exchange()) {
+                offer.closed = true;
+                network.releaseOnward(offer.leg, e.cause());
+            }
+        } else if (effect instanceof Effect.Over e) {
+            if (offer != null) {
+                offer.over(e.cause());
+            }
+        } else if (offer == null) {
+            network.rules().answeredAstray(effect.call(), place, network.now());
+        } else if (effect instanceof Effect.Stands) {
+            offer.stands();
+        } else if (effect instanceof Effect.Refused e) {
+            offer.refused(e.advised());
+        } else if (effect instanceof Effect.Failed) {
+            offer.failed();
         }
     }
 
@@ -171,33 +169,4 @@
         snapshots.add(new Snapshot(network.now(), processor.queued(),
                 processor.capacity() / processor.slowness() / setUpWork * 1_000_000));
     }
-
-    // What the softswitch asks of the network.
-
-    @Override
-    public void invite(Attempt attempt) {
-        network.send(this, offers.get(attempt.request().id()), attempt);
-    }
-
-    @Override
-    public void withdraw(Attempt attempt) {
-        Offer offer = offers.get(attempt.request().id());
-        if (offer != null && offer.leg != null && offer.leg.attempt == attempt) {
-            network.withdraw(offer.leg, attempt.deadline() <= network.now() ? Status.TIMEOUT : Status.CANCELLED);
-        }
-    }
-
-    @Override
-    public void release(long exchange, String call, int cause) {
-        Offer offer = offers.get(call);
-        if (offer != null && offer.leg != null && offer.leg.to.address == exchange) {
-            offer.closed = true;
-            network.releaseOnward(offer.leg, cause);
-        }
-    }
-
-    @Override
-    public void closeIdle(long exchange) {
-        // The model has no connections.
-    }
 }
--- a/src/main/java/wingspread/lab/world/Offer.java
+++ b/src/main/java/wingspread/lab/world/Offer.java
@@ -1,11 +1,10 @@
 package wingspread.lab.world;
 
-import wingspread.core.Caller;
 import wingspread.core.Request;
 import wingspread.lab.rules.Taken;
 
 /** A call as one softswitch has taken it. It hears the softswitch's answer, and tells the rules of it. */
-abstract class Offer implements Caller {
+abstract class Offer {
     final Node at;
     final Request request;
     final Taken taken;
@@ -22,28 +21,24 @@
         this.taken = taken;
     }
 
-    @Override
-    public final void stands(byte[] description) {
+    final void stands() {
         at.network.rules().answered(taken, at.network.now());
         stood();
     }
 
-    @Override
-    public final void refused(long wait) {
+    final void refused(long wait) {
         at.network.rules().answered(taken, at.network.now());
         close();
         turnedAway(wait);
     }
 
-    @Override
-    public final void failed() {
+    final void failed() {
         at.network.rules().answered(taken, at.network.now());
         close();
         turnedAway(0);
     }
 
-    @Override
-    public final void over(int cause) {
+    final void over(int cause) {
         close();
         ended(cause);
     }
@@ -53,11 +48,6 @@
         at.forgetIfDone(this);
     }
 
-    @Override
-    public boolean outlivesRestart() {
-        return true;
-    }
-
     /** The call stands. */
     abstract void stood();
 
--- a/src/main/java/wingspread/lab/world/Subscriber.java
+++ b/src/main/java/wingspread/lab/world/Subscriber.java
@@ -2,9 +2,9 @@
 
 import java.util.HexFormat;
 import org.apache.commons.rng.UniformRandomProvider;
-import wingspread.core.Event;
 import wingspread.core.Planner;
 import wingspread.core.Request;
+import wingspread.lab.host.Happening;
 import wingspread.lab.measure.Tally;
 import wingspread.lab.rules.Taken;
 import wingspread.lab.scenario.Day;
@@ -106,7 +106,7 @@
                 gone = true;
                 network.rules().givenUp(taken);
                 network.tally().gaveUp();
-                at.post(new Event.GivenUp(request.id(), this));
+                at.post(new Happening.GivenUp(request.id()));
                 dialLater(0);
             }
         }
--- a/src/test/java/wingspread/lab/ModelTest.java
+++ b/src/test/java/wingspread/lab/ModelTest.java
@@ -22,14 +22,16 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import wingspread.control.Figures;
 import wingspread.lab.StubController.Vice;
+import wingspread.lab.host.Controller;
+import wingspread.lab.host.LocalSoftswitches;
+import wingspread.lab.host.PlannerController;
+import wingspread.lab.host.SoftswitchPool;
 import wingspread.lab.measure.Service;
 import wingspread.lab.rules.Breach;
 import wingspread.lab.rules.Breach.Rule;
 import wingspread.lab.scenario.Scenario;
 import wingspread.lab.sim.Streams;
-import wingspread.lab.world.Controller;
 import wingspread.lab.world.Model;
-import wingspread.lab.world.PlannerController;
 
 /** The model against what is known by hand, against itself, and against softswitches that break the rules. */
 class ModelTest {
@@ -55,7 +57,7 @@
 
     private static Model.Run play(Scenario scenario, Controller.Maker maker, long seed) {
         Streams streams = new Streams(seed, 0);
-        return new Model(scenario.day(streams), streams, streams, maker).play();
+        return new Model(scenario.day(streams), streams, streams, new LocalSoftswitches(maker)).play();
     }
 
     private static Set<Rule> broken(Vice vice, String scenario) {
@@ -94,8 +96,10 @@
     }
 
     private static byte[] bytes(int threads) throws JsonProcessingException {
-        try (Experiment experiment = new Experiment(Scenario.named("surge-slow-late"), 5, threads)) {
-            return new ObjectMapper().writeValueAsBytes(experiment.each(0, 8, n -> experiment.play(n, PLANNER, 0)));
+        try (Experiment experiment = new Experiment(Scenario.named("surge-slow-late"), 5, threads);
+                SoftswitchPool pool = SoftswitchPool.local(PLANNER)) {
+            return new ObjectMapper().writeValueAsBytes(
+                    experiment.each(0, 8, n -> pool.with(softswitches -> experiment.play(n, softswitches, 0))));
         }
     }
 
@@ -156,7 +160,7 @@
     void everyCallEndsOnceAndEveryCircuitComesBack(@ForAll("days") String toml, @ForAll long seed) {
         Scenario scenario = Scenario.parse(toml, "drawn");
         Streams streams = new Streams(seed, 0);
-        Model model = new Model(scenario.day(streams), streams, streams, PLANNER);
+        Model model = new Model(scenario.day(streams), streams, streams, new LocalSoftswitches(PLANNER));
         Model.Run run = model.play();
         assertEquals(List.of(), run.breaches(), toml);
         Service service = run.service();
--- a/src/test/java/wingspread/lab/StubController.java
+++ b/src/test/java/wingspread/lab/StubController.java
@@ -13,7 +13,7 @@
 import wingspread.core.Event;
 import wingspread.core.Exchanges;
 import wingspread.core.Request;
-import wingspread.lab.world.Controller;
+import wingspread.lab.host.Controller;
 
 /** A softswitch that sends every call direct, once, and refuses what did not stand; with a vice, if one is given. */
 final class StubController implements Controller {
--- a/src/test/java/wingspread/lab/compare/CompareTest.java
+++ b/src/test/java/wingspread/lab/compare/CompareTest.java
@@ -15,14 +15,16 @@
 import wingspread.lab.Experiment;
 import wingspread.lab.compare.Comparer.Variant;
 import wingspread.lab.compare.Comparison.Verdict;
+import wingspread.lab.host.PlannerController;
+import wingspread.lab.host.SoftswitchPool;
 import wingspread.lab.scenario.Scenario;
-import wingspread.lab.world.PlannerController;
 import wingspread.toml.TomlException;
 
 /** Intervals, stopping, and verdicts on pairs whose difference is known. */
 class CompareTest {
     private static Variant planner(String setting, int family) {
-        return new Variant(setting, PlannerController.with(Setting.named(setting).figures()), family);
+        return new Variant(setting,
+                SoftswitchPool.local(PlannerController.with(Setting.named(setting).figures())), family);
     }
 
     private static Comparison compare(Variant a, Variant b, int budget, double width) {
