Record the calls that come in, off by default, and play recordings in the lab

A model fed with drawn calls says nothing of the traffic that an installation has, and numbers of callers must not lie about on disks.

--- a/src/main/java/wingspread/Main.java
+++ b/src/main/java/wingspread/Main.java
@@ -6,12 +6,16 @@
 import wingspread.cli.Cli;
 import wingspread.config.ConfigException;
 import wingspread.config.SipConfig;
+import wingspread.config.Switch;
+import wingspread.record.RecordConfig;
+import wingspread.toml.TomlException;
 import wingspread.wirehost.WireHost;
 
 /** The program's commands. */
 public final class Main {
     private static final Logger LOG = LoggerFactory.getLogger(Main.class);
     private static final Path SIP_FILE = Path.of("deploy/sip.toml");
+    private static final Path RECORD_FILE = Path.of("deploy/record.toml");
 
     private Main() { }
 
@@ -37,9 +41,10 @@
                 return WireHost.run();
             case "serve":
                 try {
-                    new Softswitch(System.getenv(), SipConfig.read(SIP_FILE)).start();
+                    new Softswitch(System.getenv(), SipConfig.read(SIP_FILE),
+                            Switch.mayBeOn(RECORD_FILE) ? RecordConfig.read(RECORD_FILE) : null).start();
                     return -1;
-                } catch (ConfigException | ReflectiveOperationException e) {
+                } catch (ConfigException | TomlException | ReflectiveOperationException e) {
                     LOG.error("wingspread: {}", e.getMessage());
                     return 2;
                 }
--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -11,7 +11,9 @@
 import wingspread.config.NodeConfig;
 import wingspread.config.SettingsParser;
 import wingspread.config.SipConfig;
+import wingspread.control.CallControl.CallClass;
 import wingspread.control.CallControl.ListKind;
+import wingspread.control.CallControl.Settings;
 import wingspread.control.Figures;
 import wingspread.core.Event;
 import wingspread.core.Planner;
@@ -23,6 +25,8 @@
 import wingspread.metrics.Metrics;
 import wingspread.net.Signals;
 import wingspread.net.UnixClock;
+import wingspread.record.RecordConfig;
+import wingspread.record.Recorder;
 
 /** One real softswitch: a planner, the forwarders round it, its start and its end. */
 final class Softswitch {
@@ -52,10 +56,12 @@
     private final JsonlFront front;
     private final Optional<SipService> sip;
     private final long startedAt;
+    /** Null where nothing is recorded. */
+    private final Recorder recorder;
     private boolean ending;
 
     /** A softswitch of the configuration that these variables name. */
-    Softswitch(Map<String, String> environment, SipConfig sipConfig) {
+    Softswitch(Map<String, String> environment, SipConfig sipConfig, RecordConfig record) {
         this.environment = environment;
         this.config = NodeConfig.read(environment);
         this.startedAt = loop.now();
@@ -68,9 +74,15 @@
                 (int) (config.sockets() * CALLERS_SHARE), this::post, this::ready, metrics);
         this.sip = Optional.ofNullable(sipConfig).map(c -> new SipService(loop, c, settings.settings().classes(),
                 config.seed(), this::post, metrics));
+        this.recorder = record == null ? null : record.start(startedAt, settings.settings().ownPlace(),
+                settings.settings().softswitches(), classNames(settings.settings()));
         loop.serve(planner);
     }
 
+    private static List<String> classNames(Settings settings) {
+        return settings.classes().stream().map(CallClass::name).toList();
+    }
+
     /** Starts to serve; returns at once. */
     void start() throws ReflectiveOperationException {
         loop.execute(() -> {
@@ -107,6 +119,9 @@
     }
 
     private void post(Event event) {
+        if (recorder != null && event instanceof Event.Offered offered) {
+            recorder.offered(loop.now(), offered.request());
+        }
         planner.post(event);
     }
 
@@ -147,6 +162,9 @@
                 links.close();
                 front.close();
                 sip.ifPresent(SipService::close);
+                if (recorder != null) {
+                    recorder.close();
+                }
                 LOG.info(metrics.toString());
                 System.exit(0);
             });
--- a/src/main/java/wingspread/cli/Cli.java
+++ b/src/main/java/wingspread/cli/Cli.java
@@ -6,6 +6,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Spec;
 import wingspread.lab.host.HostException;
+import wingspread.record.Recording;
 import wingspread.toml.TomlException;
 
 /** The command line: what {@code serve} and {@code wirehost} alone do not need. */
@@ -33,7 +34,8 @@
         line.setCaseInsensitiveEnumValuesAllowed(true);
         line.setParameterExceptionHandler((e, args) -> complain(e.getCommandLine(), e.getMessage()));
         line.setExecutionExceptionHandler((e, command, result) -> {
-            if (e instanceof TomlException || e instanceof HostException) {
+            if (e instanceof TomlException || e instanceof HostException
+                    || e instanceof Recording.NoRecordingException) {
                 return complain(command, e.getMessage());
             }
             throw e;
--- a/src/main/java/wingspread/cli/LabOptions.java
+++ b/src/main/java/wingspread/cli/LabOptions.java
@@ -1,7 +1,11 @@
 package wingspread.cli;
 
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import picocli.CommandLine.Option;
 import wingspread.lab.scenario.Scenario;
+import wingspread.record.Recording;
 
 /** What all commands of the laboratory take. */
 final class LabOptions {
@@ -13,6 +17,10 @@
             description = "one more line of TOML over the scenario, as in --set 'load.level = 1.2'")
     private String[] more = new String[0];
 
+    @Option(names = "--recorded", paramLabel = "FILE", arity = "1..*",
+            description = "recordings whose first tries are played in place of drawn calls, one for each exchange")
+    private List<Path> recorded = new ArrayList<>();
+
     @Option(names = "--seed", defaultValue = "1", description = "where all randomness comes from (default: 1)")
     private long seed;
 
@@ -21,7 +29,8 @@
 
     Scenario scenario() {
         Scenario read = Scenario.named(scenario);
-        return more.length == 0 ? read : read.with(String.join("\n", more));
+        Scenario whole = more.length == 0 ? read : read.with(String.join("\n", more));
+        return recorded.isEmpty() ? whole : whole.with(recorded.stream().map(Recording::read).toList());
     }
 
     long seed() {
--- a/src/main/java/wingspread/lab/scenario/Day.java
+++ b/src/main/java/wingspread/lab/scenario/Day.java
@@ -6,10 +6,12 @@
  * One draw from a scenario: what both variants of a replication meet. Times in microseconds; shares from 0 to 1.
  *
  * @param length how long callers call
+ * @param recorded the calls, where they are recorded ones; null where they are drawn
  * @param tick softswitches act at multiples of this; 0 for at once
  */
 public record Day(long length, long tick, Fleet fleet, Load load, Net net, Work work, Cold cold, Callers callers,
-        News news, Reports reports, Rules rules, Goal goal, List<ClassOfCall> classes, List<Trouble> troubles) {
+        News news, Reports reports, Rules rules, Goal goal, List<ClassOfCall> classes, List<Trouble> troubles,
+        RecordedTraffic recorded) {
 
     /**
      * The exchanges and the circuits between them.
--- a/src/main/java/wingspread/lab/scenario/Scenario.java
+++ b/src/main/java/wingspread/lab/scenario/Scenario.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import wingspread.lab.scenario.Day.ClassOfCall;
 import wingspread.lab.sim.Streams;
+import wingspread.record.Recording;
 import wingspread.toml.TomlException;
 import wingspread.toml.TomlFile;
 
@@ -20,10 +21,12 @@
 
     private final String name;
     private final ObjectNode tree;
+    private final RecordedTraffic recorded;
 
-    private Scenario(String name, ObjectNode tree) {
+    private Scenario(String name, ObjectNode tree, RecordedTraffic recorded) {
         this.name = name;
         this.tree = tree;
+        this.recorded = recorded;
     }
 
     /**
@@ -48,18 +51,30 @@
 
     private static Scenario of(String name, ObjectNode top) {
         Scenario scenario = new Scenario(name,
-                TomlFile.over(TomlFile.resource("/wingspread/lab/scenarios/usual.toml", SCHEMA), top));
+                TomlFile.over(TomlFile.resource("/wingspread/lab/scenarios/usual.toml", SCHEMA), top), null);
         scenario.check();
         return scenario;
     }
 
     /** This scenario with more laid over it; what is laid over is checked like a file. */
     public Scenario with(String toml) {
-        Scenario scenario = new Scenario(name, TomlFile.over(tree, TomlFile.parse(toml, name + " and more", SCHEMA)));
+        Scenario scenario = new Scenario(name, TomlFile.over(tree, TomlFile.parse(toml, name + " and more", SCHEMA)),
+                recorded);
         scenario.check();
         return scenario;
     }
 
+    /**
+     * This scenario with the first tries of recordings in place of drawn ones. Lengths of calls are drawn still.
+     *
+     * @throws TomlException where the recordings do not fit its exchanges and classes
+     */
+    public Scenario with(List<Recording> recordings) {
+        Day day = day(new Streams(0, 0));
+        return new Scenario(name, tree, RecordedTraffic.of(recordings, day.fleet().exchanges(),
+                day.classes().stream().map(ClassOfCall::name).toList()));
+    }
+
     /** What a schema cannot say: places that exist, ranges in order, times in one unit. */
     private void check() {
         try {
@@ -93,7 +108,8 @@
                 callers(d.table("callers")), news(d.table("news")),
                 new Day.Reports(d.table("reports").time("period"), d.table("reports").time("delay"),
                         d.table("reports").number("noise")),
-                rules(d.table("rules")), goal(d.table("goal")), classes(streams), troubles(streams));
+                rules(d.table("rules")), goal(d.table("goal")), classes(streams), troubles(streams),
+                recorded);
     }
 
     private static Day.Fleet fleet(Draws d) {
--- a/src/main/java/wingspread/lab/world/Model.java
+++ b/src/main/java/wingspread/lab/world/Model.java
@@ -1,6 +1,7 @@
 package wingspread.lab.world;
 
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import wingspread.control.CallControl.CallClass;
@@ -16,6 +17,7 @@
 import wingspread.lab.rules.Breach;
 import wingspread.lab.rules.RuleBook;
 import wingspread.lab.scenario.Day;
+import wingspread.lab.scenario.RecordedTraffic;
 import wingspread.lab.sim.Streams;
 import wingspread.lab.sim.VirtualTime;
 
@@ -40,10 +42,18 @@
     private final Tally tally;
     private final Network network;
     private final Traffic traffic;
+    private final Consumer<RecordedTraffic.Call> heard;
 
     /** Sets a run up; {@code controllerSeeds} gives the softswitches their own randomness. */
     public Model(Day day, Streams streams, Streams controllerSeeds, Softswitches softswitches) {
+        this(day, streams, controllerSeeds, softswitches, call -> { });
+    }
+
+    /** The same; {@code heard} is told of each caller's first try. */
+    public Model(Day day, Streams streams, Streams controllerSeeds, Softswitches softswitches,
+            Consumer<RecordedTraffic.Call> heard) {
         this.day = day;
+        this.heard = heard;
         this.streams = streams;
         Obligations obligations = obligations(day);
         this.rules = new RuleBook(obligations, day.rules().maxAttempts(), day.rules().release(), START);
@@ -76,7 +86,7 @@
     /** Plays the day and lets every caller have an answer. */
     public Run play() {
         sampleLoads();
-        traffic.begin();
+        traffic.begin(heard);
         long longest = day.classes().stream().mapToLong(Day.ClassOfCall::deadline).max().orElse(0);
         time.runUntil(START + day.length() + 2 * longest + RUN_OUT);
         rules.close(time.getAsLong());
--- a/src/main/java/wingspread/lab/world/Traffic.java
+++ b/src/main/java/wingspread/lab/world/Traffic.java
@@ -1,11 +1,13 @@
 package wingspread.lab.world;
 
-import java.util.List;
 import java.util.HexFormat;
+import java.util.List;
+import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import org.apache.commons.rng.simple.RandomSource;
 import wingspread.lab.scenario.Day;
+import wingspread.lab.scenario.RecordedTraffic;
 import wingspread.lab.sim.Streams;
 
 /**
@@ -32,6 +34,7 @@
     private double hotNumberShare;
     private int hotDestination;
     private String hotNumber = "";
+    private Consumer<RecordedTraffic.Call> heard = call -> { };
     private long arrivals;
 
     Traffic(Network network, Streams streams) {
@@ -117,9 +120,37 @@
         }
     }
 
-    /** Starts calling. */
-    void begin() {
-        next();
+    /** Starts calling; {@code heard} is told of each first try. */
+    void begin(Consumer<RecordedTraffic.Call> whoHears) {
+        heard = whoHears;
+        if (day.recorded() == null) {
+            next();
+        } else {
+            replay(0);
+        }
+    }
+
+    /** The next recorded call. How long it lasts, and what its caller does, is drawn as ever. */
+    private void replay(int which) {
+        if (which < day.recorded().calls().size()) {
+            RecordedTraffic.Call call = day.recorded().calls().get(which);
+            if (call.at() < day.length()) {
+                network.time().at(network.start() + call.at(), () -> {
+                    offer(call.origin(), call.callClass(), call.destination(),
+                            HexFormat.of().toHexDigits(call.number()), exponential.sample(), draws.nextLong());
+                    replay(which + 1);
+                });
+            }
+        }
+    }
+
+    private void offer(int origin, int callClass, int destination, String number, double holding, long seed) {
+        arrivals++;
+        heard.accept(new RecordedTraffic.Call(network.now() - network.start(), origin, callClass, destination,
+                Long.parseUnsignedLong(number, 16)));
+        new Subscriber(network, network.nodes().get(origin), callClass, destination, number,
+                Math.round(holding * day.classes().get(callClass).holding()),
+                RandomSource.SPLIT_MIX_64.create(seed)).dial(false);
     }
 
     private void next() {
@@ -146,13 +177,8 @@
                 origin = hotCallers[hot % hotCallers.length];
             }
             boolean toHot = toHotNumber < hotNumberShare && origin != hotDestination;
-            int callClass = pickClass(whichClass);
-            Day.ClassOfCall kind = day.classes().get(callClass);
-            arrivals++;
-            new Subscriber(network, network.nodes().get(origin), callClass,
-                    toHot ? hotDestination : destination(origin, where),
-                    toHot ? hotNumber : HexFormat.of().toHexDigits(number),
-                    Math.round(holding * kind.holding()), RandomSource.SPLIT_MIX_64.create(seed)).dial(false);
+            offer(origin, pickClass(whichClass), toHot ? hotDestination : destination(origin, where),
+                    toHot ? hotNumber : HexFormat.of().toHexDigits(number), holding, seed);
         }
         next();
     }
--- a/src/test/java/wingspread/LayersTest.java
+++ b/src/test/java/wingspread/LayersTest.java
@@ -49,7 +49,7 @@
     @Test
     void serveKnowsNothingOfTheLab() {
         holds(noClasses().that().resideOutsideOfPackages("wingspread", "wingspread.cli..", "wingspread.lab..",
-                "wingspread.toml..")
+                "wingspread.toml..", "wingspread.record..")
                 .should().dependOnClassesThat().resideInAnyPackage("wingspread.lab..", "wingspread.toml..",
                         "wingspread.cli..", "picocli..",
                         "com.fasterxml.jackson..", "com.networknt..", "org.HdrHistogram..", "org.apache.commons.."));
