Write what a comparison finds as one page with plots

lab report compares like lab compare and writes one self-contained HTML page: each part's difference with its interval, service over time with bands, set-up delays by class, redials, busy circuits, set-ups out. Runs note redials, circuits and set-ups out second by second. Four scenarios of the kinds that the operators have seen are shipped beside the others.

--- /dev/null
+++ b/src/main/java/wingspread/cli/CompareOptions.java
@@ -0,0 +1,96 @@
+package wingspread.cli;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.function.BiConsumer;
+import picocli.CommandLine;
+import picocli.CommandLine.Option;
+import wingspread.lab.Experiment;
+import wingspread.lab.compare.Comparer;
+import wingspread.lab.compare.Comparer.Variant;
+import wingspread.lab.compare.Comparison;
+import wingspread.lab.compare.Interval;
+import wingspread.lab.compare.Sampling;
+import wingspread.lab.compare.Setting;
+import wingspread.lab.host.PlannerController;
+import wingspread.lab.host.RemoteSoftswitches;
+import wingspread.lab.host.SoftswitchPool;
+import wingspread.lab.world.Model;
+
+/** What is compared with what, and how well. */
+final class CompareOptions {
+    @Option(names = "--a", defaultValue = "usual", paramLabel = "SETTING",
+            description = "usual, a TOML file with [figures], or figure=value,figure=value (default: usual)")
+    private String a;
+
+    @Option(names = "--b", defaultValue = "usual", paramLabel = "SETTING", description = "the same for B")
+    private String b;
+
+    @Option(names = "--jar-a", paramLabel = "JAR",
+            description = "another built jar of this program, whose softswitches A runs with")
+    private Path jarA;
+
+    @Option(names = "--jar-b", paramLabel = "JAR", description = "the same for B")
+    private Path jarB;
+
+    @Option(names = "--width", defaultValue = "0.005", paramLabel = "SHARE",
+            description = "half the width of the 95%% interval that is asked for (default: 0.005)")
+    private double width;
+
+    @Option(names = "--pilot", defaultValue = "16", description = "pairs of days played first (default: 16)")
+    private int pilot;
+
+    @Option(names = "--budget", defaultValue = "400", description = "the most pairs of days (default: 400)")
+    private int budget;
+
+    @Option(names = "--fresh-luck",
+            description = "the softswitches of B draw random numbers of their own, as in A against A")
+    private boolean freshLuck;
+
+    /** Compares; {@code each} hears of every pair of runs. */
+    Comparison compare(Experiment experiment, CommandLine line, BiConsumer<Model.Run, Model.Run> each) {
+        Setting settingA = Setting.named(a);
+        Setting settingB = Setting.named(b);
+        try (SoftswitchPool poolA = pool(settingA, jarA); SoftswitchPool poolB = pool(settingB, jarB)) {
+            return new Comparer(experiment, sampling(line), sofar -> progress(line, sofar), each).compare(
+                    new Variant(name(settingA, jarA), poolA, 0),
+                    new Variant(name(settingB, jarB), poolB, freshLuck ? 1 : 0), 0);
+        }
+    }
+
+    String nameA() {
+        return name(Setting.named(a), jarA);
+    }
+
+    String nameB() {
+        return name(Setting.named(b), jarB);
+    }
+
+    private static SoftswitchPool pool(Setting setting, Path jar) {
+        return jar == null ? SoftswitchPool.local(PlannerController.with(setting.figures()))
+                : new SoftswitchPool(() -> RemoteSoftswitches.start(jar, setting.figures()));
+    }
+
+    private static String name(Setting setting, Path jar) {
+        return setting.name() + (jar == null ? "" : " on " + jar);
+    }
+
+    private Sampling sampling(CommandLine line) {
+        try {
+            return new Sampling(pilot, budget, width);
+        } catch (IllegalArgumentException e) {
+            throw new CommandLine.ParameterException(line, e.getMessage());
+        }
+    }
+
+    /** Told only where somebody sits before a terminal. */
+    private void progress(CommandLine line, Interval sofar) {
+        if (System.console() != null) {
+            PrintWriter err = line.getErr();
+            err.printf(Locale.ROOT, "%d of at most %d pairs: %+.4f within %.4f%n", sofar.n(), budget, sofar.mean(),
+                    sofar.half());
+            err.flush();
+        }
+    }
+}
--- a/src/main/java/wingspread/cli/LabCommand.java
+++ b/src/main/java/wingspread/cli/LabCommand.java
@@ -8,7 +8,7 @@
 /** The laboratory: a model of a fleet in virtual time. */
 @Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Version.class,
         description = "Plays and compares softswitches on a model of a fleet.", subcommands = {LabRun.class,
-            LabCompare.class, LabCalibrate.class, LabRecord.class,
+            LabCompare.class, LabCalibrate.class, LabReport.class, LabRecord.class,
             LabHost.class})
 final class LabCommand implements Runnable {
     @Spec
--- a/src/main/java/wingspread/lab/compare/Comparer.java
+++ b/src/main/java/wingspread/lab/compare/Comparer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
@@ -24,9 +25,17 @@
     private final Experiment experiment;
     private final Sampling sampling;
     private final Consumer<Interval> progress;
+    private final BiConsumer<Model.Run, Model.Run> each;
 
     /** A comparer; {@code progress} hears of the interval after each stage. */
     public Comparer(Experiment experiment, Sampling sampling, Consumer<Interval> progress) {
+        this(experiment, sampling, progress, (runA, runB) -> { });
+    }
+
+    /** The same; {@code each} hears of every pair in the order of the days. */
+    public Comparer(Experiment experiment, Sampling sampling, Consumer<Interval> progress,
+            BiConsumer<Model.Run, Model.Run> each) {
+        this.each = each;
         this.experiment = experiment;
         this.sampling = sampling;
         this.progress = progress;
@@ -44,6 +53,7 @@
             progress.accept(sofar);
             step = sampling.next(++stages, sofar);
         }
+        pairs.forEach(pair -> each.accept(pair.a(), pair.b()));
         boolean narrow = step instanceof Sampling.Stop stop && stop.narrow();
         return new Comparison(a.name(), b.name(), experiment.scenario().name(), experiment.seed(),
                 difference(pairs, Service::result, CONFIDENCE), mean(pairs, Pair::a, Service::result),
--- a/src/main/java/wingspread/lab/measure/Tally.java
+++ b/src/main/java/wingspread/lab/measure/Tally.java
@@ -40,6 +40,9 @@
     private long gaveUp;
     private long lost;
     private long overTandem;
+    private final double[] redialsBySecond;
+    private final double[] busyBySecond;
+    private final double[] outBySecond;
     private double workDone;
     private double workWasted;
 
@@ -50,6 +53,9 @@
         int seconds = (int) (day.length() / MICROS) + 1;
         offered = new double[classes][seconds];
         earned = new double[classes][seconds];
+        redialsBySecond = new double[seconds];
+        busyBySecond = new double[seconds];
+        outBySecond = new double[seconds];
         calls = new long[classes];
         inAim = new long[classes];
         lateStood = new long[classes];
@@ -67,10 +73,11 @@
         return entry;
     }
 
-    /** Somebody dials. */
-    public void tried(boolean redial) {
+    /** Somebody dials, so many microseconds after the start. */
+    public void tried(boolean redial, long at) {
         if (redial) {
             redials++;
+            redialsBySecond[(int) Math.min(at / MICROS, redialsBySecond.length - 1)]++;
         } else {
             firstTries++;
         }
@@ -124,6 +131,22 @@
         workWasted += work;
     }
 
+    /** How things stand at the end of a second of the day. */
+    public void stands(int second, double busyShare, int setUpsOut) {
+        busyBySecond[second] = busyShare;
+        outBySecond[second] = setUpsOut;
+    }
+
+    /** The day second by second. */
+    public Timeline timeline() {
+        return new Timeline(redialsBySecond, busyBySecond, outBySecond);
+    }
+
+    /** Set-up delays of each class, in microseconds. */
+    public List<Histogram> delays() {
+        return List.copyOf(delays);
+    }
+
     /** What it comes to. */
     public Service service() {
         return Service.of(day, offered, earned, calls, inAim, lateStood, cuts, delays, lostLate, workDone, workWasted,
--- a/src/main/java/wingspread/lab/scenario/Scenario.java
+++ b/src/main/java/wingspread/lab/scenario/Scenario.java
@@ -16,7 +16,8 @@
 public final class Scenario {
     /** The scenarios that are shipped. */
     public static final List<String> SHIPPED = List.of("usual", "surge-slow-late", "regional-loss",
-            "crash-and-return", "rolling-release", "event-day", "large", "vast");
+            "crash-and-return", "rolling-release", "event-day", "crowd-and-late", "overload", "surge-and-slow",
+            "crowd-and-slow", "large", "vast");
     private static final String SCHEMA = "/wingspread/lab/scenario.schema.json";
 
     private final String name;
--- a/src/main/java/wingspread/lab/world/Group.java
+++ b/src/main/java/wingspread/lab/world/Group.java
@@ -22,6 +22,11 @@
         return working;
     }
 
+    /** Attempts on it that have no answer yet. */
+    int out() {
+        return (int) holders.stream().filter(leg -> !leg.standing && !leg.over).count();
+    }
+
     int busy() {
         return busy;
     }
--- a/src/main/java/wingspread/lab/world/Model.java
+++ b/src/main/java/wingspread/lab/world/Model.java
@@ -1,8 +1,10 @@
 package wingspread.lab.world;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
 import wingspread.control.CallControl.CallClass;
 import wingspread.control.CallControl.Effect;
@@ -14,6 +16,7 @@
 import wingspread.lab.host.Softswitches;
 import wingspread.lab.measure.Service;
 import wingspread.lab.measure.Tally;
+import wingspread.lab.measure.Timeline;
 import wingspread.lab.rules.Breach;
 import wingspread.lab.rules.RuleBook;
 import wingspread.lab.scenario.Day;
@@ -30,10 +33,12 @@
     private static final long START = 1_000_000_000;
     /** After the last caller has waited, for what is still on its way. */
     private static final long RUN_OUT = 2_000_000;
+    private static final long SECOND = 1_000_000;
     private static final long LONGEST_HOLDING = 40;
 
     /** What came of a run; {@code happened} counts the model's events. */
-    public record Run(Service service, List<Breach> breaches, long breachCount, long calls, long happened) { }
+    public record Run(Service service, List<Breach> breaches, long breachCount, long calls, long happened,
+            Timeline timeline, @JsonIgnore List<Histogram> delays) { }
 
     private final Day day;
     private final Streams streams;
@@ -86,11 +91,16 @@
     /** Plays the day and lets every caller have an answer. */
     public Run play() {
         sampleLoads();
+        for (int second = 0; (second + 1L) * SECOND <= day.length(); second++) {
+            int which = second;
+            time.at(START + (second + 1L) * SECOND, () -> lookRound(which));
+        }
         traffic.begin(heard);
         long longest = day.classes().stream().mapToLong(Day.ClassOfCall::deadline).max().orElse(0);
         time.runUntil(START + day.length() + 2 * longest + RUN_OUT);
         rules.close(time.getAsLong());
-        return new Run(tally.service(), rules.breaches(), rules.counted(), traffic.arrivals(), time.happened());
+        return new Run(tally.service(), rules.breaches(), rules.counted(), traffic.arrivals(), time.happened(),
+                tally.timeline(), tally.delays());
     }
 
     /** Lets every call end after the day, and counts the circuits that are still busy; there should be none. */
@@ -102,6 +112,22 @@
                 .map(i -> network.group(nodes.get(i / nodes.size()), nodes.get(i % nodes.size())).busy()).sum();
     }
 
+    private void lookRound(int second) {
+        int busy = 0;
+        int working = 0;
+        int out = 0;
+        List<Node> nodes = network.nodes();
+        for (int a = 0; a < nodes.size(); a++) {
+            for (int b = a + 1; b < nodes.size(); b++) {
+                Group group = network.group(nodes.get(a), nodes.get(b));
+                busy += group.busy();
+                working += group.working();
+                out += group.out();
+            }
+        }
+        tally.stands(second, working == 0 ? 0 : busy / (double) working, out);
+    }
+
     private void sampleLoads() {
         UniformRandomProvider phase = streams.stream("report phase");
         for (Node node : network.nodes()) {
--- a/src/main/java/wingspread/lab/world/Subscriber.java
+++ b/src/main/java/wingspread/lab/world/Subscriber.java
@@ -62,7 +62,7 @@
                 kind.width(), -1, redial && habits.marked(), false, cut);
         Try attempt = new Try(origin, request, network.rules().taken(id, origin.place, request.deadline(), -1));
         tries++;
-        network.tally().tried(redial);
+        network.tally().tried(redial, now - network.start());
         origin.processor.setUp(network.work(network.day().work().look()), () -> { });
         origin.take(attempt);
         if (random.nextDouble() < habits.impatient()) {
--- a/src/test/java/wingspread/cli/CliTest.java
+++ b/src/test/java/wingspread/cli/CliTest.java
@@ -50,6 +50,20 @@
         assertTrue(Files.readString(json).contains("\"verdict\" : \"WORSE\""));
     }
 
+    @Test
+    void reportWritesOnePageWithEverythingInIt(@TempDir Path folder) throws IOException {
+        Path page = folder.resolve("report.html");
+        assertEquals(0, run("lab", "report", "--set", "length = '10s'", "--b", "window-start=2", "--pilot", "2",
+                "--budget", "3", "--out", page.toString()));
+        String html = Files.readString(page);
+        assertTrue(html.contains("No difference found between A and B"), "the sentence is missing");
+        assertTrue(html.contains("token-balance"), "the classes are missing");
+        // Differences, service, three classes' delays, redials, circuits, set-ups out.
+        assertEquals(8, html.split("src=\"data:image/png;base64,", -1).length - 1);
+        assertEquals(0, html.split("src=\"http", -1).length - 1);
+        assertTrue(out.toString().contains(page.toString()), out.toString());
+    }
+
     @Test
     void aPilotBeyondTheBudgetIsTurnedAway() {
         complains("pilot 8", "lab", "compare", "--pilot", "8", "--budget", "4");
