--- a/src/main/java/wingspread/Main.java
+++ b/src/main/java/wingspread/Main.java
@@ -40,16 +40,20 @@
             case "wirehost":
                 return WireHost.run();
             case "serve":
-                try {
-                    new Softswitch(System.getenv(), SipConfig.read(SIP_FILE),
-                            Switch.mayBeOn(RECORD_FILE) ? RecordConfig.read(RECORD_FILE) : null).start();
-                    return -1;
-                } catch (ConfigException | TomlException | ReflectiveOperationException e) {
-                    LOG.error("wingspread: {}", e.getMessage());
-                    return 2;
-                }
+                return serve();
             default:
-                return Cli.run(args);
+                return Cli.run(Main::serve, WireHost::run, args);
+        }
+    }
+
+    private static int serve() {
+        try {
+            new Softswitch(System.getenv(), SipConfig.read(SIP_FILE),
+                    Switch.mayBeOn(RECORD_FILE) ? RecordConfig.read(RECORD_FILE) : null).start();
+            return -1;
+        } catch (ConfigException | TomlException | ReflectiveOperationException e) {
+            LOG.error("wingspread: {}", e.getMessage());
+            return 2;
         }
     }
 }
--- a/src/main/java/wingspread/cli/Cli.java
+++ b/src/main/java/wingspread/cli/Cli.java
@@ -1,6 +1,8 @@
 package wingspread.cli;
 
 import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import java.util.function.IntSupplier;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -11,9 +13,7 @@
 
 /** The command line: what {@code serve} and {@code wirehost} alone do not need. */
 @Command(name = "wingspread", mixinStandardHelpOptions = true, versionProvider = Version.class,
-        description = "A softswitch, and a laboratory for it.", subcommands = {LabCommand.class},
-        footer = {"", "serve     a softswitch; reads LB_NAME, LB_LISTEN, LB_CONFIG",
-            "wirehost  the same decisions on the simulator's wire, on standard input and output"})
+        description = "A softswitch, and a laboratory for it.", subcommands = {LabCommand.class})
 public final class Cli implements Runnable {
     /** Exit code where the command line or a file of settings cannot be taken. */
     public static final int USAGE = 2;
@@ -23,9 +23,33 @@
 
     private Cli() { }
 
-    /** Runs a command; the exit code. */
-    public static int run(String... args) {
-        return commandLine().execute(args);
+    /** A command that the program has without this package: it takes no options of its own. */
+    @Command(mixinStandardHelpOptions = true, versionProvider = Version.class)
+    private static final class Delegate implements Callable<Integer> {
+        private final IntSupplier command;
+
+        Delegate(IntSupplier command) {
+            this.command = command;
+        }
+
+        @Override
+        public Integer call() {
+            return command.getAsInt();
+        }
+    }
+
+    /** Runs a command; the exit code, or what {@code serve} or {@code wirehost} give. */
+    public static int run(IntSupplier serve, IntSupplier wirehost, String... args) {
+        CommandLine line = commandLine();
+        delegate(line, "serve", serve, "Runs a softswitch; reads LB_NAME, LB_LISTEN and LB_CONFIG.");
+        delegate(line, "wirehost", wirehost, "Hosts the decisions on the simulator's wire, on standard input.");
+        return line.execute(args);
+    }
+
+    private static void delegate(CommandLine line, String name, IntSupplier command, String what) {
+        CommandLine sub = new CommandLine(new Delegate(command));
+        sub.getCommandSpec().usageMessage().description(what);
+        line.addSubcommand(name, sub);
     }
 
     /** The command line, whose outputs can be set elsewhere. */
--- a/src/main/java/wingspread/cli/CompareOptions.java
+++ b/src/main/java/wingspread/cli/CompareOptions.java
@@ -1,8 +1,6 @@
 package wingspread.cli;
 
-import java.io.PrintWriter;
 import java.nio.file.Path;
-import java.util.Locale;
 import java.util.function.BiConsumer;
 import picocli.CommandLine;
 import picocli.CommandLine.Option;
@@ -10,7 +8,6 @@
 import wingspread.lab.compare.Comparer;
 import wingspread.lab.compare.Comparer.Variant;
 import wingspread.lab.compare.Comparison;
-import wingspread.lab.compare.Interval;
 import wingspread.lab.compare.Sampling;
 import wingspread.lab.compare.Setting;
 import wingspread.lab.host.PlannerController;
@@ -52,10 +49,15 @@
     Comparison compare(Experiment experiment, CommandLine line, BiConsumer<Model.Run, Model.Run> each) {
         Setting settingA = Setting.named(a);
         Setting settingB = Setting.named(b);
+        Progress progress = Progress.on(line.getErr());
         try (SoftswitchPool poolA = pool(settingA, jarA); SoftswitchPool poolB = pool(settingB, jarB)) {
-            return new Comparer(experiment, sampling(line), sofar -> progress(line, sofar), each).compare(
+            Comparer comparer = new Comparer(experiment, sampling(line),
+                    () -> progress.step(budget, "pairs of days"), each);
+            Comparison found = comparer.compare(
                     new Variant(name(settingA, jarA), poolA, 0),
                     new Variant(name(settingB, jarB), poolB, freshLuck ? 1 : 0), 0);
+            progress.end();
+            return found;
         }
     }
 
@@ -83,14 +85,4 @@
             throw new CommandLine.ParameterException(line, e.getMessage());
         }
     }
-
-    /** Told only where somebody sits before a terminal. */
-    private void progress(CommandLine line, Interval sofar) {
-        if (System.console() != null) {
-            PrintWriter err = line.getErr();
-            err.printf(Locale.ROOT, "%d of at most %d pairs: %+.4f within %.4f%n", sofar.n(), budget, sofar.mean(),
-                    sofar.half());
-            err.flush();
-        }
-    }
 }
--- a/src/main/java/wingspread/cli/LabCalibrate.java
+++ b/src/main/java/wingspread/cli/LabCalibrate.java
@@ -53,7 +53,7 @@
         long pairs = 0;
         try (Experiment experiment = new Experiment(options.scenario(), options.seed(), options.threads());
                 SoftswitchPool pool = SoftswitchPool.local(PlannerController.with(Figures.USUAL))) {
-            Comparer comparer = new Comparer(experiment, new Sampling(pilot, budget, width), interval -> { });
+            Comparer comparer = new Comparer(experiment, new Sampling(pilot, budget, width), () -> { });
             for (int i = 0; i < comparisons; i++) {
                 Comparison found = comparer.compare(new Variant("A", pool, 0), new Variant("A again", pool, 1),
                         i * budget);
--- a/src/main/java/wingspread/cli/LabRun.java
+++ b/src/main/java/wingspread/cli/LabRun.java
@@ -41,14 +41,21 @@
         long before = System.nanoTime();
         try (Experiment experiment = new Experiment(scenario, options.seed(), options.threads());
                 SoftswitchPool pool = SoftswitchPool.local(PlannerController.with(Figures.USUAL))) {
-            List<Model.Run> runs = experiment.each(0, Math.max(1, replications),
-                    n -> pool.with(s -> experiment.play(n, s, 0)));
+            int days = Math.max(1, replications);
+            Progress progress = Progress.on(spec.commandLine().getErr());
+            List<Model.Run> runs = experiment.each(0, days, n -> {
+                Model.Run run = pool.with(s -> experiment.play(n, s, 0));
+                progress.step(days, "days");
+                return run;
+            });
+            progress.end();
             out.printf(Locale.ROOT, "%s: %s%n", scenario.name(), scenario.about());
             print(out, runs);
             double seconds = (System.nanoTime() - before) / 1e9;
             long calls = runs.stream().mapToLong(Model.Run::calls).sum();
-            out.printf(Locale.ROOT, "%d replications, %d calls, %.1f s, %.0f calls a second%n", runs.size(), calls,
-                    seconds, calls / seconds);
+            out.printf(Locale.ROOT, "%d replications, %d calls, %.1f events a call, %.1f s, %.0f calls a second%n",
+                    runs.size(), calls, runs.stream().mapToLong(Model.Run::happened).sum() / (double) calls, seconds,
+                    calls / seconds);
             out.flush();
             return runs.stream().anyMatch(run -> run.breachCount() > 0) ? 1 : 0;
         }
--- a/src/main/java/wingspread/lab/compare/Comparer.java
+++ b/src/main/java/wingspread/lab/compare/Comparer.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
@@ -24,16 +23,16 @@
 
     private final Experiment experiment;
     private final Sampling sampling;
-    private final Consumer<Interval> progress;
+    private final Runnable progress;
     private final BiConsumer<Model.Run, Model.Run> each;
 
-    /** A comparer; {@code progress} hears of the interval after each stage. */
-    public Comparer(Experiment experiment, Sampling sampling, Consumer<Interval> progress) {
+    /** A comparer; {@code progress} is run after each pair, on its thread. */
+    public Comparer(Experiment experiment, Sampling sampling, Runnable progress) {
         this(experiment, sampling, progress, (runA, runB) -> { });
     }
 
     /** The same; {@code each} hears of every pair in the order of the days. */
-    public Comparer(Experiment experiment, Sampling sampling, Consumer<Interval> progress,
+    public Comparer(Experiment experiment, Sampling sampling, Runnable progress,
             BiConsumer<Model.Run, Model.Run> each) {
         this.each = each;
         this.experiment = experiment;
@@ -47,10 +46,12 @@
         Sampling.Step step = sampling.first();
         int stages = 0;
         while (step instanceof Sampling.Play play) {
-            pairs.addAll(experiment.each(firstReplication + pairs.size(), play.more(), n -> new Pair(
-                    play(a, n), play(b, n))));
+            pairs.addAll(experiment.each(firstReplication + pairs.size(), play.more(), n -> {
+                Pair pair = new Pair(play(a, n), play(b, n));
+                progress.run();
+                return pair;
+            }));
             Interval sofar = difference(pairs, Service::result, CONFIDENCE);
-            progress.accept(sofar);
             step = sampling.next(++stages, sofar);
         }
         pairs.forEach(pair -> each.accept(pair.a(), pair.b()));
--- a/src/main/java/wingspread/lab/world/Traffic.java
+++ b/src/main/java/wingspread/lab/world/Traffic.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import wingspread.lab.scenario.Day;
 import wingspread.lab.scenario.RecordedTraffic;
+import wingspread.lab.scenario.Trouble;
 import wingspread.lab.sim.Streams;
 
 /**
@@ -15,9 +16,6 @@
  * 1979), so that each candidate draws the same numbers whatever the rate is.
  */
 final class Traffic {
-    /** Thinning needs a bound; surges and swings beyond this many times the planned rate are cut there. */
-    private static final double MOST_TIMES = 6;
-
     private final Network network;
     private final Day day;
     private final Streams streams;
@@ -27,6 +25,8 @@
     private final double[][] usual;
     private final double[][] now;
     private final double baseRate;
+    /** The most planned rates that the day can come to, which thinning needs. */
+    private final double mostTimes;
     private final int n;
     private double surge = 1;
     private int[] hotCallers = new int[0];
@@ -48,6 +48,7 @@
         this.usual = new double[n][n];
         this.now = new double[n][n];
         this.baseRate = day.load().level() * n * day.fleet().erlangs() / circuitTime(day.classes());
+        this.mostTimes = mostTimes(day);
         plan();
         drift(0);
     }
@@ -58,6 +59,14 @@
         return classes.stream().mapToDouble(c -> c.part() / parts * c.width() * c.holding()).sum();
     }
 
+    private static double mostTimes(Day day) {
+        double most = 1 + day.load().swing();
+        for (Trouble trouble : day.troubles()) {
+            most *= trouble instanceof Trouble.Surge surge ? Math.max(1, surge.factor()) : 1;
+        }
+        return most;
+    }
+
     private void plan() {
         UniformRandomProvider random = streams.stream("plan");
         Day.Fleet fleet = day.fleet();
@@ -154,7 +163,7 @@
     }
 
     private void next() {
-        long wait = (long) Math.max(1, exponential.sample() / (baseRate * MOST_TIMES));
+        long wait = (long) Math.max(1, exponential.sample() / (baseRate * mostTimes));
         if (network.now() + wait < network.start() + day.length()) {
             network.time().in(wait, this::candidate);
         }
@@ -162,7 +171,7 @@
 
     /** Whether it calls or not, a candidate takes the same number of draws. */
     private void candidate() {
-        boolean calls = draws.nextDouble() < rate() / MOST_TIMES;
+        boolean calls = draws.nextDouble() < rate() / mostTimes;
         double fromHot = draws.nextDouble();
         int origin = draws.nextInt(n);
         int hot = draws.nextInt(Integer.MAX_VALUE);
--- a/src/main/java/wingspread/turn/Deadlines.java
+++ b/src/main/java/wingspread/turn/Deadlines.java
@@ -3,11 +3,13 @@
 import java.util.Arrays;
 
 /**
- * Things to do at a time, in the order of their times and then of their adding. None can be taken back. A binary
- * heap in plain arrays: each entry costs no object of its own beside what is to be done.
+ * Things to do at a time, in the order of their times and then of their adding. None can be taken back. A heap
+ * of four children to a parent in plain arrays: half as deep as one of two, and each entry costs no object of its own
+ * beside what is to be done.
  */
 public final class Deadlines {
     private static final int FIRST_SIZE = 64;
+    private static final int CHILDREN = 4;
 
     private long[] at = new long[FIRST_SIZE];
     private long[] order = new long[FIRST_SIZE];
@@ -25,7 +27,7 @@
         int hole = size++;
         long number = added++;
         while (hole > 0) {
-            int parent = (hole - 1) / 2;
+            int parent = (hole - 1) / CHILDREN;
             if (at[parent] <= time) {
                 break;
             }
@@ -61,23 +63,32 @@
         what[last] = null;
         if (last > 0) {
             int hole = 0;
-            int child = 1;
-            while (child < last) {
-                if (child + 1 < last && before(child + 1, at[child], order[child])) {
-                    child++;
-                }
-                if (!before(child, time, number)) {
-                    break;
-                }
+            int child = firstChild(hole, last);
+            while (child >= 0 && before(child, time, number)) {
                 move(child, hole);
                 hole = child;
-                child = 2 * hole + 1;
+                child = firstChild(hole, last);
             }
             put(hole, time, number, task);
         }
         return first;
     }
 
+    /** The child that comes first; -1 for none. */
+    private int firstChild(int parent, int end) {
+        int from = CHILDREN * parent + 1;
+        if (from >= end) {
+            return -1;
+        }
+        int first = from;
+        for (int child = from + 1; child < Math.min(from + CHILDREN, end); child++) {
+            if (before(child, at[first], order[first])) {
+                first = child;
+            }
+        }
+        return first;
+    }
+
     private boolean before(int entry, long time, long number) {
         return at[entry] < time || at[entry] == time && order[entry] < number;
     }
--- a/src/test/java/wingspread/ServeTest.java
+++ b/src/test/java/wingspread/ServeTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -18,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +28,7 @@
 import wingspread.net.BadInput;
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
+import wingspread.record.Recording;
 import wingspread.testing.Wire;
 
 /** The whole program in a process of its own, between a stand-in caller and a stand-in exchange on the loopback. */
@@ -84,10 +87,11 @@
         } while (((Double) wire.next().get("why")).intValue() != wanted);
     }
 
-    private static Process serve(String config) throws IOException {
+    private Process serve(String config) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "wingspread.Main", "serve");
         builder.environment().put("LB_CONFIG", config);
+        builder.directory(folder.toFile());
         return builder.redirectErrorStream(true).start();
     }
 
@@ -307,6 +311,34 @@
         assertEquals(ID, told("end").get("call"));
     }
 
+    @Test
+    void callsAreRecordedWhereTheFileUnderDeploySaysSo() throws Exception {
+        process.destroyForcibly().waitFor();
+        Files.createDirectory(folder.resolve("deploy"));
+        Files.writeString(folder.resolve("deploy/record.toml"), Files.readString(Path.of("deploy/record.toml"))
+                .replace("enabled = false", "enabled = true"));
+        process = serve(config.toString());
+        exchange = accept();
+        exchange.send(SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges", "idle:20;circuits:20").encode());
+        caller = connect();
+        asksUntil(caller, 1);
+        offer(ID);
+        answer(heard("INVITE"), 503);
+        heard("ACK");
+        told("end");
+        process.destroy();
+        assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        try (Stream<Path> files = Files.list(folder)) {
+            Path file = files.filter(f -> f.getFileName().toString().startsWith("traffic.0.")).findFirst()
+                    .orElseThrow();
+            Recording found = Recording.read(file);
+            assertNull(found.fault());
+            assertEquals(List.of("plain"), found.classes());
+            assertEquals(1, found.calls().size());
+            assertEquals(1, found.calls().get(0).destination());
+        }
+    }
+
     @Test
     void aBadConfigurationIsOneLineAndANonZeroExit() throws Exception {
         Path bad = folder.resolve("bad.json");
--- a/src/test/java/wingspread/cli/CliTest.java
+++ b/src/test/java/wingspread/cli/CliTest.java
@@ -79,6 +79,16 @@
         complains("levle", "lab", "run", "--set", "load.levle = 1");
     }
 
+    @Test
+    void aBarIsDrawnForATerminalAlone() {
+        Progress shown = new Progress(new PrintWriter(err), true);
+        shown.step(2, "days");
+        assertEquals("\r[###############...............] 1 of at most 2 days", err.toString());
+        StringWriter nothing = new StringWriter();
+        new Progress(new PrintWriter(nothing), false).step(2, "days");
+        assertEquals("", nothing.toString());
+    }
+
     @Test
     void anUnknownOptionIsNamed() {
         complains("--bogus", "lab", "run", "--bogus");
--- a/src/test/java/wingspread/lab/compare/CompareTest.java
+++ b/src/test/java/wingspread/lab/compare/CompareTest.java
@@ -30,7 +30,7 @@
     private static Comparison compare(Variant a, Variant b, int budget, double width) {
         Scenario scenario = Scenario.named("usual").with("length = '20s'");
         try (Experiment experiment = new Experiment(scenario, 4, 2)) {
-            return new Comparer(experiment, new Sampling(8, budget, width), sofar -> { }).compare(a, b, 0);
+            return new Comparer(experiment, new Sampling(8, budget, width), () -> { }).compare(a, b, 0);
         }
     }
 
