--- a/src/main/java/wingspread/cli/Cli.java
+++ b/src/main/java/wingspread/cli/Cli.java
@@ -1,5 +1,6 @@
 package wingspread.cli;
 
+import java.io.IOException;
 import java.io.PrintWriter;
 import java.util.concurrent.Callable;
 import java.util.function.IntSupplier;
@@ -62,6 +63,9 @@
                     || e instanceof Recording.NoRecordingException) {
                 return complain(command, e.getMessage());
             }
+            if (e instanceof IOException) {
+                return complain(command, e.getClass().getSimpleName() + ": " + e.getMessage());
+            }
             throw e;
         });
         return line;
--- a/src/test/java/wingspread/cli/CliTest.java
+++ b/src/test/java/wingspread/cli/CliTest.java
@@ -64,6 +64,14 @@
         assertTrue(out.toString().contains(page.toString()), out.toString());
     }
 
+    @Test
+    void aFileThatCannotBeWrittenIsNamed() {
+        assertEquals(Cli.USAGE, run("lab", "compare", "--set", "length = '10s'", "--pilot", "2", "--budget", "2",
+                "--json", "no-such-folder/found.json"));
+        assertTrue(err.toString().contains("no-such-folder"), err.toString());
+        assertEquals(1, err.toString().lines().count());
+    }
+
     @Test
     void aPilotBeyondTheBudgetIsTurnedAway() {
         complains("pilot 8", "lab", "compare", "--pilot", "8", "--budget", "4");
