--- a/src/test/java/wingspread/cli/CliTest.java
+++ b/src/test/java/wingspread/cli/CliTest.java
@@ -8,6 +8,8 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
@@ -72,6 +74,21 @@
         assertEquals(1, err.toString().lines().count());
     }
 
+    @Test
+    void aDayThatWasRecordedIsPlayedCallForCall(@TempDir Path folder) {
+        assertEquals(0, run("lab", "record", "--out", folder.toString(), "--set", "length = '8s'"));
+        int recorded = out.toString().lines().mapToInt(line -> Integer.parseInt(line.replaceAll(".*, (\\d+) calls.*",
+                "$1"))).sum();
+        out.getBuffer().setLength(0);
+        List<String> args = new ArrayList<>(List.of("lab", "run", "--replications", "1", "--set", "length = '9s'",
+                "--recorded"));
+        for (int place = 0; place < 7; place++) {
+            args.add(folder.resolve("traffic." + place).toString());
+        }
+        assertEquals(0, run(args.toArray(String[]::new)));
+        assertTrue(recorded > 0 && out.toString().contains("1 replications, " + recorded + " calls"), out.toString());
+    }
+
     @Test
     void aPilotBeyondTheBudgetIsTurnedAway() {
         complains("pilot 8", "lab", "compare", "--pilot", "8", "--budget", "4");
