Tell storms of redials from crowds, budget them and spread their return; off as yet

After an outage callers dial again together, and redials compete with first tries on equal terms. The ground of what damps that can be laid and tested before it is switched on.

Nothing asks it yet.

--- a/src/test/java/wingspread/LayersTest.java
+++ b/src/test/java/wingspread/LayersTest.java
@@ -32,6 +32,13 @@
                         "wingspread.turn..", "wingspread.metrics..", "org.slf4j..", "java.lang..", "java.util.."));
     }
 
+    @Test
+    void stormsAreDecidedWithoutInputOrOutput() {
+        holds(classes().that().resideInAPackage("wingspread.storm..")
+                .should().onlyDependOnClassesThat().resideInAnyPackage("wingspread.storm..", "java.lang..",
+                        "java.util.."));
+    }
+
     @Test
     void socketsAreForwardersBusiness() {
         holds(noClasses().that().resideInAnyPackage("wingspread.control..", "wingspread.core..", "wingspread.turn..",
--- /dev/null
+++ b/src/test/java/wingspread/storm/StormTest.java
@@ -0,0 +1,164 @@
+package wingspread.storm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import wingspread.storm.StormDetector.Change;
+
+/** Storms of redials are told from crowds, budgets hold, and who is turned away comes back spread out. */
+class StormTest {
+    private static final long SECOND = 1_000_000;
+    private static final StormFigures FIGURES = StormFigures.USUAL;
+
+    private final List<Change> changes = new ArrayList<>();
+    private final StormDetector detector = new StormDetector(0, FIGURES);
+
+    /** So many first tries and redials a second, at random moments. */
+    private void calls(long fromSecond, long toSecond, double firstTries, double redials, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        for (long at = fromSecond * SECOND; at < toSecond * SECOND; at += 1_000) {
+            if (random.nextDouble() < firstTries / 1_000) {
+                note(detector.tried(at, false));
+            }
+            if (random.nextDouble() < redials / 1_000) {
+                note(detector.tried(at, true));
+            }
+            note(detector.look(at));
+        }
+    }
+
+    private void note(Change change) {
+        if (change != Change.NONE) {
+            changes.add(change);
+        }
+    }
+
+    @Property(tries = 50, seed = "81")
+    void aCrowdOfFirstTriesIsNoStorm(@ForAll long seed) {
+        StormTest test = new StormTest();
+        test.calls(0, 10, 20, 1, seed);
+        test.calls(10, 20, 200, 12, seed + 1);
+        test.calls(20, 30, 20, 1, seed + 2);
+        assertEquals(List.of(), test.changes);
+    }
+
+    @Property(tries = 50, seed = "82")
+    void aStormBeginsOnceAndEndsOnceAlsoWithinACrowd(@ForAll long seed) {
+        StormTest test = new StormTest();
+        test.calls(0, 10, 60, 3, seed);
+        test.calls(10, 20, 60, 120, seed + 1);
+        assertTrue(test.detector.storm());
+        assertTrue(test.detector.beganAt() < 11 * SECOND, "began at " + test.detector.beganAt());
+        test.calls(20, 40, 60, 3, seed + 2);
+        assertEquals(List.of(Change.BEGAN, Change.ENDED), test.changes);
+    }
+
+    @Test
+    void aFewRedialsWhereHardlyAnybodyCallsAreNoStorm() {
+        calls(0, 60, 0.2, 0.5, 7);
+        assertEquals(List.of(), changes);
+    }
+
+    @Test
+    void aStormThatStopsDeadEndsByTheClockAlone() {
+        calls(0, 5, 10, 100, 8);
+        assertTrue(detector.storm());
+        for (long at = 5 * SECOND; at < 40 * SECOND; at += 100_000) {
+            note(detector.look(at));
+        }
+        assertEquals(List.of(Change.BEGAN, Change.ENDED), changes);
+    }
+
+    @Test
+    void aClockThatStepsBackChangesNothing() {
+        calls(0, 10, 10, 100, 9);
+        double before = detector.redialsPerSecond(10 * SECOND);
+        assertEquals(before, detector.redialsPerSecond(3 * SECOND), 1e-9);
+        assertEquals(Change.NONE, detector.look(0));
+        assertTrue(detector.storm());
+    }
+
+    @Test
+    void aRateIsRightFromTheFirstSecondOn() {
+        DecayingRate rate = new DecayingRate(0, 2 * SECOND);
+        for (long at = 0; at < 10 * SECOND; at += 10_000) {
+            rate.add(at, 1);
+            if (at >= SECOND) {
+                assertEquals(100, rate.perSecond(at), 2);
+            }
+        }
+    }
+
+    @Property(tries = 100, seed = "83")
+    void redialsStayInProportionToWhatGetsThrough(@ForAll long seed, @ForAll @IntRange(min = 1, max = 200) int asked) {
+        SplittableRandom random = new SplittableRandom(seed);
+        RetryBudget budget = new RetryBudget(0, FIGURES);
+        int through = 0;
+        int let = 0;
+        for (long at = 0; at < 20 * SECOND; at += 10_000) {
+            if (random.nextDouble() < 0.3) {
+                through++;
+                budget.gotThrough(at);
+            }
+            for (int i = 0; i < random.nextInt(asked); i++) {
+                let += budget.take(at) ? 1 : 0;
+            }
+            assertTrue(budget.balance(at) >= 0 && budget.balance(at) <= FIGURES.budgetMost());
+        }
+        assertTrue(let <= 1 + FIGURES.budgetShare() * through + FIGURES.budgetFloor() * 20, let + " of " + through);
+        assertTrue(let >= (asked == 1 ? 0 : FIGURES.budgetShare() * through - FIGURES.budgetMost()), "starved");
+    }
+
+    @Test
+    void aDestinationWhereNothingGetsThroughIsTriedStill() {
+        RetryBudget budget = new RetryBudget(0, FIGURES);
+        int let = 0;
+        for (long at = 0; at < 20 * SECOND; at += 100_000) {
+            let += budget.take(at) ? 1 : 0;
+        }
+        assertEquals(1 + 20 * FIGURES.budgetFloor(), let, 1);
+    }
+
+    @Property(tries = 50, seed = "84")
+    void whoIsTurnedAwayComesBackNoFasterThanThereIsRoom(@ForAll long seed) {
+        double free = 50;
+        ReturnSchedule schedule = new ReturnSchedule(0, 20 * SECOND, new SplittableRandom(seed));
+        int[] bySecond = new int[22];
+        for (int i = 0; i < 500; i++) {
+            bySecond[(int) (schedule.waitFor(0, free) / SECOND)]++;
+        }
+        for (int second = 0; second < 10; second++) {
+            assertEquals(free, bySecond[second], 2, "second " + second);
+        }
+    }
+
+    @Property(tries = 50, seed = "85")
+    void aLineThatIsFullIsSpreadOverTheLongestWait(@ForAll long seed) {
+        ReturnSchedule schedule = new ReturnSchedule(0, 10 * SECOND, new SplittableRandom(seed));
+        int lastSecond = 0;
+        for (int i = 0; i < 5_000; i++) {
+            long wait = schedule.waitFor(0, 10);
+            assertTrue(wait >= 1 && wait <= 10 * SECOND);
+            lastSecond += wait > 9 * SECOND ? 1 : 0;
+        }
+        assertTrue(lastSecond < 700, lastSecond + " of 5000 come in the last of ten seconds");
+    }
+
+    @Test
+    void figuresThatMakeNoSenseAreTurnedAway() {
+        assertThrows(IllegalArgumentException.class,
+                () -> new StormFigures(SECOND, 0.2, 0.5, 2, SECOND, 0.2, 0.5, 10, SECOND, 10));
+        assertThrows(IllegalArgumentException.class,
+                () -> new StormFigures(0, 0.5, 0.2, 2, SECOND, 0.2, 0.5, 10, SECOND, 10));
+        assertFalse(new StormDetector(0, FIGURES).storm());
+    }
+}
