--- a/src/main/java/wingspread/cli/LabRun.java
+++ b/src/main/java/wingspread/cli/LabRun.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.stream.DoubleStream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -97,10 +98,6 @@
     }
 
     private static double mean(double[] values) {
-        double sum = 0;
-        for (double value : values) {
-            sum += value;
-        }
-        return sum / values.length;
+        return DoubleStream.of(values).filter(value -> !Double.isNaN(value)).average().orElse(Double.NaN);
     }
 }
--- a/src/main/java/wingspread/lab/compare/Comparer.java
+++ b/src/main/java/wingspread/lab/compare/Comparer.java
@@ -67,14 +67,16 @@
     }
 
     private static Interval difference(List<Pair> pairs, ToDoubleFunction<Service> part, double confidence) {
+        // A class that nobody called on a day has no service there, on either side.
         return Interval.of(pairs.stream().mapToDouble(
-                pair -> part.applyAsDouble(pair.b().service()) - part.applyAsDouble(pair.a().service())).toArray(),
-                confidence);
+                pair -> part.applyAsDouble(pair.b().service()) - part.applyAsDouble(pair.a().service()))
+                .filter(value -> !Double.isNaN(value)).toArray(), confidence);
     }
 
     private static double mean(List<Pair> pairs, Function<Pair, Model.Run> side,
             ToDoubleFunction<Service> part) {
-        return pairs.stream().mapToDouble(pair -> part.applyAsDouble(side.apply(pair).service())).average().orElse(0);
+        return pairs.stream().mapToDouble(pair -> part.applyAsDouble(side.apply(pair).service()))
+                .filter(value -> !Double.isNaN(value)).average().orElse(Double.NaN);
     }
 
     /** Each part at the confidence that lets all of them hold together (Bonferroni). */
--- a/src/main/java/wingspread/lab/measure/Tally.java
+++ b/src/main/java/wingspread/lab/measure/Tally.java
@@ -88,7 +88,7 @@
         gaveUp++;
     }
 
-    /** The call stands, so long after its first try. */
+    /** The call stands, so long after its first try, or after the cut where it comes again. */
     public void stood(Entry entry, long delay, boolean withinAim, boolean tandem) {
         Day.ClassOfCall kind = day.classes().get(entry.callClass);
         entry.late = !withinAim;
--- a/src/main/java/wingspread/lab/world/Subscriber.java
+++ b/src/main/java/wingspread/lab/world/Subscriber.java
@@ -117,7 +117,7 @@
                 return;
             }
             standing = true;
-            network.tally().stood(entry, network.now() - first, network.now() <= aimAt,
+            network.tally().stood(entry, network.now() - (aimAt - kind.aim()), network.now() <= aimAt,
                     leg != null && leg.to.place != destination);
             network.time().in(holding, () -> {
                 if (leg != null && !leg.over) {
--- a/src/test/java/wingspread/lab/compare/CompareTest.java
+++ b/src/test/java/wingspread/lab/compare/CompareTest.java
@@ -93,6 +93,40 @@
         assertEquals(-worse.service().mean(), better.service().mean(), 1e-12);
     }
 
+    @Test
+    void aClassThatHardlyAnybodyCallsSpoilsNoFigure() {
+        Scenario scenario = Scenario.named("usual").with("""
+                length = "10s"
+                [[class]]
+                name = "often"
+                part = 10000
+                aim = "1500ms"
+                deadline = "9s"
+                worth = 1
+                late-worth = 0.25
+                width = 1
+                holding = "10s"
+                [[class]]
+                name = "seldom"
+                part = 1
+                aim = "1500ms"
+                deadline = "9s"
+                worth = 1
+                late-worth = 0.25
+                width = 1
+                holding = "10s"
+                """);
+        try (Experiment experiment = new Experiment(scenario, 4, 2)) {
+            Comparison found = new Comparer(experiment, new Sampling(4, 6, 0.01), () -> { })
+                    .compare(planner("usual", 0), planner("usual", 1), 0);
+            assertTrue(Double.isFinite(found.service().half()), found.toString());
+            assertTrue(found.parts().stream().filter(part -> part.name().equals("often"))
+                    .allMatch(part -> part.difference().n() == found.service().n()), found.toString());
+            assertTrue(found.parts().stream().filter(part -> part.name().equals("seldom"))
+                    .allMatch(part -> part.difference().n() < found.service().n()), found.toString());
+        }
+    }
+
     @Test
     void aBudgetTooSmallIsSaid() {
         Comparison found = compare(planner("usual", 0), planner("usual", 1), 8, 1e-6);
