--- a/src/main/java/wingspread/cli/CompareOptions.java
+++ b/src/main/java/wingspread/cli/CompareOptions.java
@@ -14,6 +14,7 @@
 import wingspread.lab.host.RemoteSoftswitches;
 import wingspread.lab.host.SoftswitchPool;
 import wingspread.lab.world.Model;
+import wingspread.storm.StormFigures;
 
 /** What is compared with what, and how well. */
 final class CompareOptions {
@@ -31,6 +32,9 @@
     @Option(names = "--jar-b", paramLabel = "JAR", description = "the same for B")
     private Path jarB;
 
+    @Option(names = "--storm-b", description = "B damps storms of redials (being built; not with --jar-b)")
+    private boolean stormB;
+
     @Option(names = "--width", defaultValue = "0.005", paramLabel = "SHARE",
             description = "half the width of the 95%% interval that is asked for (default: 0.005)")
     private double width;
@@ -50,12 +54,12 @@
         Setting settingA = Setting.named(a);
         Setting settingB = Setting.named(b);
         Progress progress = Progress.on(line.getErr());
-        try (SoftswitchPool poolA = pool(settingA, jarA); SoftswitchPool poolB = pool(settingB, jarB)) {
+        try (SoftswitchPool poolA = pool(settingA, jarA); SoftswitchPool poolB = poolB(settingB)) {
             Comparer comparer = new Comparer(experiment, sampling(line),
                     () -> progress.step(budget, "pairs of days"), each);
             Comparison found = comparer.compare(
                     new Variant(name(settingA, jarA), poolA, 0),
-                    new Variant(name(settingB, jarB), poolB, freshLuck ? 1 : 0), 0);
+                    new Variant(nameB(), poolB, freshLuck ? 1 : 0), 0);
             progress.end();
             return found;
         }
@@ -66,7 +70,7 @@
     }
 
     String nameB() {
-        return name(Setting.named(b), jarB);
+        return name(Setting.named(b), jarB) + (stormB && jarB == null ? ", storms damped" : "");
     }
 
     private static SoftswitchPool pool(Setting setting, Path jar) {
@@ -74,6 +78,12 @@
                 : new SoftswitchPool(() -> RemoteSoftswitches.start(jar, setting.figures()));
     }
 
+    private SoftswitchPool poolB(Setting setting) {
+        return stormB && jarB == null
+                ? SoftswitchPool.local(PlannerController.with(setting.figures(), StormFigures.USUAL))
+                : pool(setting, jarB);
+    }
+
     private static String name(Setting setting, Path jar) {
         return setting.name() + (jar == null ? "" : " on " + jar);
     }
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -24,6 +24,7 @@
 import wingspread.control.WindowControl;
 import wingspread.turn.Deadlines;
 import wingspread.metrics.Metrics;
+import wingspread.storm.StormGate;
 import wingspread.turn.Worker;
 
 /**
@@ -48,6 +49,8 @@
     private final int mostCalls;
     private final Caller.Strangers strangers;
     private final CallControl control;
+    /** Null where storms are not damped. */
+    private final StormGate gate;
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
     private final Deadlines deadlines = new Deadlines();
@@ -89,8 +92,16 @@
         }
     }
 
+    /** A planner that offers every call to the module. */
     public Planner(LongSupplier clock, Settings settings, Figures figures, long seed, int mostCalls,
             Exchanges exchanges, Caller.Strangers strangers, Metrics metrics) {
+        this(clock, settings, figures, seed, mostCalls, exchanges, strangers, metrics, null);
+    }
+
+    /** A planner that asks a gate first whether a subscriber's redial may go to the module. */
+    public Planner(LongSupplier clock, Settings settings, Figures figures, long seed, int mostCalls,
+            Exchanges exchanges, Caller.Strangers strangers, Metrics metrics, StormGate gate) {
+        this.gate = gate;
         this.clock = clock;
         this.settings = settings;
         this.exchanges = exchanges;
@@ -197,6 +208,13 @@
             caller.refused(settings.maxRetryAfter());
             return;
         }
+        // Guards first tries, and those whose calls stand, against callers who all dial again at once.
+        if (gate != null && !request.transit() && gate.offered(now, request.destination(),
+                request.redial() || request.cut()) instanceof StormGate.TurnedAway away) {
+            metrics.count("answered.storm");
+            caller.refused(settings.retryAfter() ? Math.min(away.advised(), settings.maxRetryAfter()) : 0);
+            return;
+        }
         Held held = new Held(request, caller, nextCall++);
         byId.put(request.id(), held);
         byNumber.put(held.number, held);
@@ -275,6 +293,9 @@
         }
         attempt.stand();
         control.onStood(now, held.number, attempt.index(), attempt.exchange(), now - attempt.sentAt());
+        if (gate != null && !held.request.transit() && !held.request.redial() && !held.request.cut()) {
+            gate.gotThrough(now, held.request.destination());
+        }
         answer(held, "stood", () -> held.caller.stands(e.description()));
     }
 
--- a/src/main/java/wingspread/lab/host/PlannerController.java
+++ b/src/main/java/wingspread/lab/host/PlannerController.java
@@ -1,9 +1,12 @@
 package wingspread.lab.host;
 
+import java.util.SplittableRandom;
 import wingspread.control.Figures;
 import wingspread.core.Event;
 import wingspread.core.Planner;
 import wingspread.metrics.Metrics;
+import wingspread.storm.StormFigures;
+import wingspread.storm.StormGate;
 
 /** The program's own planner with its module, unchanged. */
 public final class PlannerController implements Controller {
@@ -21,6 +24,13 @@
                 MOST_CALLS, exchanges, (call, cause) -> { }, new Metrics()));
     }
 
+    /** The same, with a gate against storms of redials by these figures. */
+    public static Maker with(Figures figures, StormFigures storm) {
+        return (clock, settings, seed, exchanges) -> new PlannerController(new Planner(clock, settings, figures, seed,
+                MOST_CALLS, exchanges, (call, cause) -> { }, new Metrics(),
+                new StormGate(storm, new SplittableRandom(~seed), line -> { })));
+    }
+
     @Override
     public void post(Event event) {
         planner.post(event);
--- a/src/test/java/wingspread/LayersTest.java
+++ b/src/test/java/wingspread/LayersTest.java
@@ -29,7 +29,8 @@
     void coreStandsOnTheModuleAlone() {
         holds(classes().that().resideInAPackage("wingspread.core..")
                 .should().onlyDependOnClassesThat().resideInAnyPackage("wingspread.core..", "wingspread.control..",
-                        "wingspread.turn..", "wingspread.metrics..", "org.slf4j..", "java.lang..", "java.util.."));
+                        "wingspread.turn..", "wingspread.metrics..", "wingspread.storm..",
+                        "org.slf4j..", "java.lang..", "java.util.."));
     }
 
     @Test
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -1,9 +1,11 @@
 package wingspread.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import wingspread.control.CallControl.CallClass;
@@ -21,6 +23,8 @@
 import wingspread.control.CallControl.Status;
 import wingspread.control.Figures;
 import wingspread.metrics.Metrics;
+import wingspread.storm.StormFigures;
+import wingspread.storm.StormGate;
 
 /** A planner between a recording caller and a recording exchange, on a clock that the test moves. */
 class PlannerTest {
@@ -29,6 +33,7 @@
     private static final byte[] DESCRIPTION = {'v', '=', '0', '\r', '\n', (byte) 0xe9};
 
     private final List<String> said = new ArrayList<>();
+    private long lastWait;
     private long now = 1_000_000_000;
     private Planner planner;
     private boolean outlives = true;
@@ -61,6 +66,7 @@
 
         @Override
         public void refused(long wait) {
+            lastWait = wait;
             said.add("refused");
         }
 
@@ -86,12 +92,13 @@
     }
 
     private final Wire wire = new Wire();
+    private Settings settings;
 
     @BeforeEach
     void twoExchanges() {
         CallClass plain = new CallClass("plain", AIM, 9_000_000, 1, 0.1, 1, 10_000_000, Effect.SAFE,
                 RepeatGroup.ALL, 0, List.of());
-        Settings settings = new Settings(Layout.NETWORK, 0, 0, 0, 3, List.of(plain), false, Reports.PIGGYBACK,
+        settings = new Settings(Layout.NETWORK, 0, 0, 0, 3, List.of(plain), false, Reports.PIGGYBACK,
                 false, false, true, false, false, true, 2_000_000, 6, 200_000, 0,
                 new Obligations(20_000, 500_000, 0, 0.3, 14_000_000, 2, 1_000_000));
         planner = new Planner(() -> now, settings, Figures.USUAL, 7, 3, wire, wire, new Metrics());
@@ -130,6 +137,32 @@
         said.clear();
     }
 
+    private void offer(String id, boolean redial, boolean transit) {
+        play(new Event.Offered(new Request(id, "plain", 0, "ab" + id, DESCRIPTION, now + LEFT, 1, 1, 2, redial, transit,
+                false), wire));
+    }
+
+    @Test
+    void redialsInAStormAreRefusedAtOnceWithAWaitAndNobodyElseIs() {
+        Metrics metrics = new Metrics();
+        planner = new Planner(() -> now, settings, Figures.USUAL, 7, 1_000, wire, wire, metrics,
+                new StormGate(StormFigures.USUAL, new SplittableRandom(3), line -> { }));
+        for (int i = 0; i < 200; i++) {
+            now += 10_000;
+            offer("redial" + i, true, false);
+        }
+        long refused = metrics.value("answered.storm");
+        assertTrue(refused > 100, refused + " of 200");
+        said.clear();
+        offer("one more", true, false);
+        heard("refused");
+        assertTrue(lastWait > 0 && lastWait <= settings.maxRetryAfter(), "wait " + lastWait);
+        assertEquals(refused + 1, metrics.value("answered.storm"));
+        offer("first", false, false);
+        offer("in transit", true, true);
+        assertEquals(refused + 1, metrics.value("answered.storm"));
+    }
+
     @Test
     void aCallStandsAndEnds() {
         offer("a");
--- a/src/test/java/wingspread/lab/ModelTest.java
+++ b/src/test/java/wingspread/lab/ModelTest.java
@@ -32,6 +32,7 @@
 import wingspread.lab.scenario.Scenario;
 import wingspread.lab.sim.Streams;
 import wingspread.lab.world.Model;
+import wingspread.storm.StormFigures;
 
 /** The model against what is known by hand, against itself, and against softswitches that break the rules. */
 class ModelTest {
@@ -153,6 +154,8 @@
     void theProgramKeepsItsRulesInEveryShippedScenario(String name) {
         for (long seed = 0; seed < 3; seed++) {
             assertEquals(List.of(), play(Scenario.named(name), PLANNER, seed).breaches());
+            assertEquals(List.of(), play(Scenario.named(name).with("callers.redials = 3"),
+                    PlannerController.with(Figures.USUAL, StormFigures.USUAL), seed).breaches());
         }
     }
 
