Count every call that a recording lacks, and hold nothing of a call but its figures

Reading the recorder again: a full file counted one missing call in place of all, for the count began anew with each; calls dropped after the last one written were in no count; the file's bound held only if somebody flushed after every call, and a batch of a million could pass it by megabytes; and the ring held whole requests, so that 4,096 descriptions of 16 KiB could wait for a disk that hangs in a heap of 80 MB. A cut-off file was played without a word.

The writer keeps both counts apart and looks at its size every 64 calls. The ring of our own gives way to the JDK's lock-free queue with a count, which holds a call's figures and the first 64 characters of its number. Commands that play a cut-off file say so.

Measured by tests: 2,000 calls into a file of 10,000 bytes are written or counted, each once, without a flush from outside; five offers of numbers of 16,000 characters to a queue of two keep 64 characters each and count three dropped.

--- a/src/main/java/wingspread/cli/LabOptions.java
+++ b/src/main/java/wingspread/cli/LabOptions.java
@@ -1,9 +1,12 @@
 package wingspread.cli;
 
+import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 import wingspread.lab.scenario.Scenario;
 import wingspread.record.Recording;
 
@@ -27,10 +30,24 @@
     @Option(names = "--threads", description = "replications played side by side (default: one for each core)")
     private int threads = Runtime.getRuntime().availableProcessors();
 
+    @Spec(Spec.Target.MIXEE)
+    private CommandSpec spec;
+
     Scenario scenario() {
         Scenario read = Scenario.named(scenario);
         Scenario whole = more.length == 0 ? read : read.with(String.join("\n", more));
-        return recorded.isEmpty() ? whole : whole.with(recorded.stream().map(Recording::read).toList());
+        return recorded.isEmpty() ? whole : whole.with(recorded.stream().map(this::read).toList());
+    }
+
+    /** Whoever plays a file that was cut off is told so. */
+    private Recording read(Path file) {
+        Recording recording = Recording.read(file);
+        if (recording.fault() != null) {
+            PrintWriter err = spec.commandLine().getErr();
+            err.println("wingspread: " + file + ": " + recording.fault());
+            err.flush();
+        }
+        return recording;
     }
 
     long seed() {
--- a/src/main/java/wingspread/cli/LabRecord.java
+++ b/src/main/java/wingspread/cli/LabRecord.java
@@ -83,7 +83,7 @@
                         Day.ClassOfCall kind = day.classes().get(call.callClass());
                         writer.write(new RecordedCall(call.at(), call.callClass(), call.destination(), kind.width(),
                                 Math.round(day.callers().patience() * kind.deadline()), false, false, false,
-                                call.number()), 0);
+                                call.number()));
                     }
                 }
             }
--- a/src/main/java/wingspread/record/Recorder.java
+++ b/src/main/java/wingspread/record/Recorder.java
@@ -6,7 +6,7 @@
 import wingspread.core.Request;
 
 /**
- * Records the calls that come in. The loop only puts a reference into a bounded ring; hashing, packing and the disk
+ * Records the calls that come in. The loop only puts a few figures into a bounded queue; hashing, packing and the disk
  * are the business of a thread of its own, and what that cannot keep up with is dropped and counted.
  */
 public final class Recorder implements AutoCloseable {
@@ -15,7 +15,7 @@
     /** At the end the disk gets so long; the program does not wait for one that hangs. */
     private static final long LAST_MILLIS = 500;
 
-    private final CallRing ring;
+    private final HeardCalls heard;
     private final NumberHash hash;
     private final TrafficWriter writer;
     private final long started;
@@ -33,7 +33,7 @@
     public Recorder(TrafficWriter writer, long started, int held, byte[] key) {
         this.writer = writer;
         this.started = started;
-        this.ring = new CallRing(held);
+        this.heard = new HeardCalls(held);
         this.hash = new NumberHash(key);
         this.thread = new Thread(this::run, "recorder");
         thread.setDaemon(true);
@@ -42,12 +42,12 @@
 
     /** A call has come in; returns at once. */
     public void offered(long now, Request request) {
-        ring.offer(now, request);
+        heard.offer(now, request);
     }
 
-    /** Calls that the ring had no room for. */
+    /** Calls that there was no room for. */
     public long dropped() {
-        return ring.dropped();
+        return heard.dropped();
     }
 
     private void run() {
@@ -55,26 +55,29 @@
             boolean last;
             do {
                 last = ending;
-                if (ring.drain(this::write) > 0) {
-                    writer.flush();
-                    tellIfFull();
-                }
+                writeAll();
                 if (!last) {
                     pause();
                 }
             } while (!last);
+            writer.dropped(heard.dropped());
         } catch (IOException e) {
             LOG.atError().addKeyValue("reason", "RECORD_FAILED").log("recording has ended: {}", e.getMessage());
         }
     }
 
-    private void write(long at, Request request) throws IOException {
-        writer.write(new RecordedCall(at - started, request.callClass(), request.destination(), request.width(),
-                Math.max(0, request.deadline() - at), request.redial(), request.transit(), request.cut(),
-                hash.of(request.number())), ring.dropped());
-    }
-
-    private void tellIfFull() {
+    private void writeAll() throws IOException {
+        HeardCalls.Heard call = heard.poll();
+        if (call == null) {
+            return;
+        }
+        writer.dropped(heard.dropped());
+        for (; call != null; call = heard.poll()) {
+            writer.write(new RecordedCall(call.at() - started, call.callClass(), call.destination(), call.width(),
+                    Math.max(0, call.deadline() - call.at()), call.redial(), call.transit(), call.cut(),
+                    hash.of(call.number())));
+        }
+        writer.flush();
         if (writer.full() && !toldFull) {
             toldFull = true;
             LOG.atWarn().addKeyValue("reason", "RECORD_FULL").log("the recording has reached its longest");
@@ -100,6 +103,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        LOG.atInfo().addKeyValue("dropped", ring.dropped()).log("recording ends");
+        // The writer is this thread's once its own has ended; a disk that still hangs has told nothing.
+        long missing = thread.isAlive() ? heard.dropped() : writer.missing();
+        LOG.atInfo().addKeyValue("missing", missing).log("recording ends");
     }
 }
--- a/src/main/java/wingspread/record/TrafficWriter.java
+++ b/src/main/java/wingspread/record/TrafficWriter.java
@@ -11,8 +11,10 @@
 /** Writes a recording. It is full when the compressed stream has reached its longest; what follows is not written. */
 public final class TrafficWriter implements AutoCloseable {
     private static final int MICROS = 1_000;
-    /** What the end and the compressor's last block need. */
-    private static final int ROOM_FOR_END = 4_096;
+    /** So many calls go to the compressor before what it made of them is counted. */
+    private static final int CALLS_A_BLOCK = 64;
+    /** What a block of calls that do not pack, the end and the compressor's last bytes need at the most. */
+    private static final int ROOM_FOR_END = 8_192;
 
     private final Counting counting;
     private final GZIPOutputStream zip;
@@ -20,7 +22,10 @@
     private final long longest;
     private long last;
     private long calls;
+    private int inBlock;
+    /** Calls that never came here, and those that came when the file was full. */
     private long dropped;
+    private long unwritten;
     private boolean full;
 
     /** Counts what goes to the file. */
@@ -61,25 +66,33 @@
                 classes));
     }
 
-    /** Writes a call, with how many were dropped before it; they come in the order of their times. */
-    public void write(RecordedCall call, long droppedSoFar) throws IOException {
-        dropped = droppedSoFar;
+    /** Notes how many calls were dropped so far before they came here. */
+    public void dropped(long soFar) {
+        dropped = soFar;
+    }
+
+    /** Writes a call; they come in the order of their times. */
+    public void write(RecordedCall call) throws IOException {
         if (full) {
-            dropped++;
+            unwritten++;
             return;
         }
         int flags = (call.redial() ? TrafficFormat.REDIAL : 0) + (call.transit() ? TrafficFormat.TRANSIT : 0)
                 + (call.cut() ? TrafficFormat.CUT : 0);
         items.write(List.of(call.at() - last, call.callClass(), call.destination(), call.width(),
-                call.left() / MICROS, flags, call.number(), droppedSoFar));
+                call.left() / MICROS, flags, call.number(), dropped));
         last = call.at();
         calls++;
+        if (++inBlock == CALLS_A_BLOCK) {
+            flush();
+        }
     }
 
     /** Sends on what was written, so that a cut later loses nothing before it. */
     public void flush() throws IOException {
         items.flush();
         zip.flush();
+        inBlock = 0;
         full = counting.bytes + ROOM_FOR_END >= longest;
     }
 
@@ -88,9 +101,14 @@
         return full;
     }
 
+    /** Calls that are not in the file, for whatever reason. */
+    public long missing() {
+        return dropped + unwritten;
+    }
+
     @Override
     public void close() throws IOException {
-        items.write(new TrafficFormat.End(calls, dropped, full));
+        items.write(new TrafficFormat.End(calls, missing(), full));
         items.close();
     }
 }
--- a/src/test/java/wingspread/cli/CliTest.java
+++ b/src/test/java/wingspread/cli/CliTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -89,6 +90,15 @@
         assertTrue(recorded > 0 && out.toString().contains("1 replications, " + recorded + " calls"), out.toString());
     }
 
+    @Test
+    void whoeverPlaysAFileThatWasCutOffIsTold(@TempDir Path folder) throws IOException {
+        assertEquals(0, run("lab", "record", "--out", folder.toString(), "--set", "length = '8s'"));
+        Path cut = folder.resolve("cut");
+        Files.write(cut, Arrays.copyOf(Files.readAllBytes(folder.resolve("traffic.0")), 400));
+        assertEquals(0, run("lab", "run", "--replications", "1", "--recorded", cut.toString()));
+        assertTrue(err.toString().matches("wingspread: .*cut: cut off after \\d+ calls.*\\R"), err.toString());
+    }
+
     @Test
     void aPilotBeyondTheBudgetIsTurnedAway() {
         complains("pilot 8", "lab", "compare", "--pilot", "8", "--budget", "4");
--- a/src/test/java/wingspread/record/RecordTest.java
+++ b/src/test/java/wingspread/record/RecordTest.java
@@ -54,8 +54,9 @@
     private static byte[] written(List<RecordedCall> calls, long longest) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try (TrafficWriter writer = new TrafficWriter(out, 77, 0, 7, CLASSES, longest)) {
+            writer.dropped(3);
             for (RecordedCall call : calls) {
-                writer.write(call, 3);
+                writer.write(call);
                 writer.flush();
             }
         }
@@ -72,7 +73,7 @@
         Recording found = read(written(calls, LONGEST));
         assertNull(found.fault());
         assertEquals(calls, found.calls());
-        assertEquals(count == 0 ? 0 : 3, found.dropped());
+        assertEquals(3, found.dropped());
         assertEquals(new Recording(77, 0, 7, CLASSES, calls, found.dropped(), null), found);
     }
 
@@ -114,12 +115,19 @@
     void aFullFileStaysWithinItsBoundAndCountsTheRest() throws IOException {
         long longest = 10_000;
         List<RecordedCall> calls = calls(7, 2_000);
-        byte[] bytes = written(calls, longest);
-        Recording found = read(bytes);
-        assertTrue(bytes.length <= longest, bytes.length + " bytes");
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try (TrafficWriter writer = new TrafficWriter(out, 77, 0, 7, CLASSES, longest)) {
+            writer.dropped(5);
+            for (RecordedCall call : calls) {
+                writer.write(call);
+            }
+        }
+        Recording found = read(out.toByteArray());
+        assertTrue(out.size() <= longest, out.size() + " bytes");
         assertNull(found.fault());
         assertEquals(calls.subList(0, found.calls().size()), found.calls());
-        assertTrue(found.calls().size() < calls.size() && found.dropped() > 0);
+        assertTrue(found.calls().size() > 0 && found.calls().size() < calls.size());
+        assertEquals(calls.size() + 5, found.calls().size() + found.dropped());
     }
 
     @Test
@@ -180,11 +188,27 @@
         assertEquals(5, found.calls().size());
         assertEquals(16, found.dropped());
         assertNull(found.fault());
+        assertEquals(21, found.calls().size() + found.dropped());
         assertEquals(new RecordedCall(1_000, 1, 3, 2, 4_999_000, true, false, false, found.calls().get(0).number()),
                 found.calls().get(0));
         assertEquals(found.calls().get(0).number(), found.calls().get(4).number());
     }
 
+    @Test
+    void whatWaitsForTheDiskIsBoundedInSizeToo() {
+        HeardCalls heard = new HeardCalls(2);
+        for (int i = 0; i < 5; i++) {
+            heard.offer(i, request("a".repeat(16_000)));
+        }
+        assertEquals(3, heard.dropped());
+        assertEquals(64, heard.poll().number().length());
+        heard.offer(9, request("ab"));
+        assertEquals(3, heard.dropped());
+        assertEquals(1, heard.poll().at());
+        assertEquals("ab", heard.poll().number());
+        assertNull(heard.poll());
+    }
+
     @Test
     void aNumberIsOnlyKnownUnderItsKey() {
         NumberHash one = new NumberHash(new byte[] {1});
