Let each further stage of a comparison play a tenth more, so that there are few looks

After the second stage a comparison went on by as few as one pair at a time until the interval was as narrow as asked; each look is one more chance to stop because the spread happened to be small.

A further stage plays at least a tenth more than was played.

--- a/src/main/java/wingspread/lab/compare/Sampling.java
+++ b/src/main/java/wingspread/lab/compare/Sampling.java
@@ -2,7 +2,8 @@
 
 /**
  * How many pairs to play: triple sampling (Hall 1981) for an interval of a width that is asked for. A pilot, then
- * half of the number that its spread calls for, then the rest by the spread of all so far. The number hangs on the
+ * half of the number that its spread calls for, then the rest by the spread of all so far, and a tenth or more again
+ * while that falls short. The number hangs on the
  * spread alone and never on the difference, so that looking early does not favour a verdict: with normal values the
  * mean is independent of the spread. What the spread of a lucky pilot would cut short, the later stages make good.
  *
@@ -13,6 +14,8 @@
 public record Sampling(int pilot, int budget, double asked) {
     /** Share of the number called for that the second stage goes to. */
     private static final double SECOND_STAGE = 0.5;
+    /** A further stage plays at least this share more, so that there are few looks at which to stop by luck. */
+    private static final double LEAST_GROWTH = 0.1;
 
     /** What to do next. */
     public sealed interface Step { }
@@ -47,6 +50,7 @@
         double calledFor = sofar.n() * Math.pow(sofar.half() / asked, 2);
         double until = stages == 1 ? Math.max(SECOND_STAGE * calledFor, 1.5 * sofar.n()) : calledFor;
         int more = (int) Math.ceil(Math.min(until, budget)) - sofar.n();
-        return new Play(Math.max(1, Math.min(more, budget - sofar.n())));
+        int least = Math.max(1, (int) Math.ceil(LEAST_GROWTH * sofar.n()));
+        return new Play(Math.min(Math.max(least, more), budget - sofar.n()));
     }
 }
--- a/src/test/java/wingspread/lab/compare/CompareTest.java
+++ b/src/test/java/wingspread/lab/compare/CompareTest.java
@@ -53,7 +53,7 @@
         int stages = 0;
         double half = Double.NaN;
         while (step instanceof Sampling.Play play) {
-            assertTrue(play.more() > 0 && stages < 200, "stage " + stages + " plays " + play.more());
+            assertTrue(play.more() > 0 && stages < 70, "stage " + stages + " plays " + play.more());
             n += play.more();
             half = 2 * deviation / Math.sqrt(n);
             step = sampling.next(++stages, new Interval(0, half, deviation, n));
