Let troubles of one kind overlap, turn endless settings away, and count all wasted work

The deduction for waste left out looks at calls that came to nothing and the work of refusals.

Losses, crowds, hot numbers and late reports are kept side by side; losses multiply, shares add up. The schema asks for times above 0 where the model steps by them, the scenario for a class that is called, and the traffic compares a wait before it adds it. Looks and refusals that set up nothing are waste.

Measured: with the old ends put back, the new test fails for circuits, crowds and numbers; the three endless settings, which ran into a limit of 20 s, end at once, two of them with a line that names the place.

--- a/src/main/java/wingspread/lab/scenario/Scenario.java
+++ b/src/main/java/wingspread/lab/scenario/Scenario.java
@@ -80,6 +80,9 @@
     private void check() {
         try {
             Day day = day(new Streams(0, 0));
+            if (day.classes().stream().mapToDouble(ClassOfCall::part).sum() == 0) {
+                throw new TomlException("class.part: 0 for every class; one above 0 was expected");
+            }
             int regions = day.fleet().regions().size();
             for (Trouble trouble : day.troubles()) {
                 if (trouble instanceof Trouble.CircuitLoss loss && loss.region() >= regions) {
--- a/src/main/java/wingspread/lab/world/Group.java
+++ b/src/main/java/wingspread/lab/world/Group.java
@@ -8,6 +8,8 @@
 final class Group {
     private final int size;
     private int working;
+    /** The shares that the losses which are on leave. */
+    private final List<Double> kept = new ArrayList<>(0);
     private int busy;
     /** Who holds circuits; each knows its place here, so that leaving costs no search. */
     private final List<Leg> holders = new ArrayList<>(0);
@@ -61,28 +63,29 @@
     }
 
     /**
-     * Keeps a share of the circuits. Each call lies on a lost one with the same probability; should too many be
-     * kept by chance, further ones are lost until the rest fit.
+     * Keeps a share of the circuits that work. Each call lies on a lost one with the same probability; should too many
+     * be kept by chance, further ones are lost until the rest fit. Losses that overlap multiply.
      *
      * @return the legs that lose their circuits, which still hold them
      */
-    List<Leg> keep(double share, UniformRandomProvider random) {
-        working = (int) Math.round(size * share);
+    List<Leg> lose(double share, UniformRandomProvider random) {
+        kept.add(share);
+        count();
         List<Leg> left = new ArrayList<>();
         List<Leg> lost = new ArrayList<>();
-        int kept = 0;
+        int holding = 0;
         for (Leg leg : holders) {
             if (random.nextDouble() < share) {
                 left.add(leg);
-                kept += leg.width;
+                holding += leg.width;
             } else {
                 lost.add(leg);
             }
         }
-        while (kept > working) {
+        while (holding > working) {
             Leg leg = left.remove(random.nextInt(left.size()));
             lost.add(leg);
-            kept -= leg.width;
+            holding -= leg.width;
         }
         return lost;
     }
@@ -92,8 +95,13 @@
         return List.copyOf(holders);
     }
 
-    /** All circuits work again. */
-    void repair() {
-        working = size;
+    /** A loss of all but this share is over. */
+    void repair(double share) {
+        kept.remove(share);
+        count();
+    }
+
+    private void count() {
+        working = (int) Math.round(size * kept.stream().reduce(1.0, (a, b) -> a * b));
     }
 }
--- a/src/main/java/wingspread/lab/world/HotLines.java
+++ b/src/main/java/wingspread/lab/world/HotLines.java
@@ -1,35 +1,35 @@
 package wingspread.lab.world;
 
-/** The lines of the one number that everybody calls, while there is one. */
+import java.util.HashMap;
+import java.util.Map;
+
+/** The lines of numbers that have few of them; all other numbers have enough. */
 final class HotLines {
-    private String number = "";
-    private int lines;
-    private int busy;
+    private final Map<String, Integer> free = new HashMap<>();
 
-    /** From now on this number has so many lines. */
-    void of(String hot, int howMany) {
-        number = hot;
-        lines = howMany;
+    /** A number has so many lines. */
+    void add(String number, int lines) {
+        free.put(number, lines);
     }
 
-    /** Whether the number that a set-up calls has a line free; it is taken. Other numbers have enough. */
+    /** Whether the number that a set-up calls has a line free; it is taken. */
     boolean takes(Leg leg) {
-        if (!leg.request().number().equals(number)) {
+        Integer left = free.get(leg.request().number());
+        if (left == null) {
             return true;
         }
-        if (busy >= lines) {
-            return false;
+        if (left > 0) {
+            free.put(leg.request().number(), left - 1);
+            leg.holdsLine = true;
         }
-        busy++;
-        leg.holdsLine = true;
-        return true;
+        return left > 0;
     }
 
     /** A set-up or call is over; its line is free. */
     void leaves(Leg leg) {
         if (leg.holdsLine) {
             leg.holdsLine = false;
-            busy--;
+            free.merge(leg.request().number(), 1, Integer::sum);
         }
     }
 }
--- a/src/main/java/wingspread/lab/world/Network.java
+++ b/src/main/java/wingspread/lab/world/Network.java
@@ -143,8 +143,9 @@
         return turns;
     }
 
+    /** Reports are later by so much more, or less again. */
     void lateReports(long more) {
-        reportsLater = more;
+        reportsLater += more;
     }
 
     private long delay(Leg leg) {
@@ -189,7 +190,10 @@
             return;
         } else if (!to.processor.hung() && to.processor.waitTime() > day.work().refuseAfter()) {
             pushed(to, day.work().refuse(), leg.from);
-            to.processor.answer(work(day.work().refuse()), () -> refuseBack(leg, Status.FULL, Cause.PROCESSOR_FULL));
+            to.processor.answer(work(day.work().refuse()), () -> {
+                tally.wasted(work(day.work().refuse()));
+                refuseBack(leg, Status.FULL, Cause.PROCESSOR_FULL);
+            });
         } else {
             pushed(to, 1, leg.from);
             to.processor.setUp(setUpWork, () -> setUp(leg));
--- a/src/main/java/wingspread/lab/world/Node.java
+++ b/src/main/java/wingspread/lab/world/Node.java
@@ -119,7 +119,7 @@
         } else if (effect instanceof Effect.Refused e) {
             offer.refused(e.advised());
         } else if (effect instanceof Effect.Failed) {
-            offer.failed();
+            offer.refused(0);
         }
     }
 
--- a/src/main/java/wingspread/lab/world/Offer.java
+++ b/src/main/java/wingspread/lab/world/Offer.java
@@ -26,18 +26,14 @@
         stood();
     }
 
+    /** Refused or failed; the wait is that of the advice, 0 for none. The look at the call set up nothing. */
     final void refused(long wait) {
         at.network.rules().answered(taken, at.network.now());
         close();
+        at.network.tally().wasted(at.network.work(at.network.day().work().look()));
         turnedAway(wait);
     }
 
-    final void failed() {
-        at.network.rules().answered(taken, at.network.now());
-        close();
-        turnedAway(0);
-    }
-
     final void over(int cause) {
         close();
         ended(cause);
--- a/src/main/java/wingspread/lab/world/Subscriber.java
+++ b/src/main/java/wingspread/lab/world/Subscriber.java
@@ -106,6 +106,7 @@
                 gone = true;
                 network.rules().givenUp(taken);
                 network.tally().gaveUp();
+                network.tally().wasted(network.work(network.day().work().look()));
                 at.post(new Happening.GivenUp(request.id()));
                 dialLater(0);
             }
--- a/src/main/java/wingspread/lab/world/Traffic.java
+++ b/src/main/java/wingspread/lab/world/Traffic.java
@@ -1,8 +1,11 @@
 package wingspread.lab.world;
 
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import org.apache.commons.rng.simple.RandomSource;
@@ -16,6 +19,12 @@
  * 1979), so that each candidate draws the same numbers whatever the rate is.
  */
 final class Traffic {
+    /** Exchanges that get a share of all calls beside their own. */
+    record Crowd(int[] places, double share) { }
+
+    /** A number that a share of all calls goes to. */
+    record HotNumber(int destination, String number, double share) { }
+
     private final Network network;
     private final Day day;
     private final Streams streams;
@@ -24,16 +33,16 @@
     private final double[][] planned;
     private final double[][] usual;
     private final double[][] now;
+    /** Running sums of the classes' shares of calls. */
+    private final double[] classes;
     private final double baseRate;
     /** The most planned rates that the day can come to, which thinning needs. */
     private final double mostTimes;
     private final int n;
     private double surge = 1;
-    private int[] hotCallers = new int[0];
-    private double hotCallerShare;
-    private double hotNumberShare;
-    private int hotDestination;
-    private String hotNumber = "";
+    /** Crowds and hot numbers that are on; several at once share the draw between them. */
+    private final List<Crowd> crowds = new ArrayList<>();
+    private final List<HotNumber> hotNumbers = new ArrayList<>();
     private Consumer<RecordedTraffic.Call> heard = call -> { };
     private long arrivals;
 
@@ -47,6 +56,10 @@
         this.planned = new double[n][n];
         this.usual = new double[n][n];
         this.now = new double[n][n];
+        double[] parts = day.classes().stream().mapToDouble(Day.ClassOfCall::part).toArray();
+        normalise(parts);
+        Arrays.parallelPrefix(parts, Double::sum);
+        this.classes = parts;
         this.baseRate = day.load().level() * n * day.fleet().erlangs() / circuitTime(day.classes());
         this.mostTimes = mostTimes(day);
         plan();
@@ -163,9 +176,10 @@
     }
 
     private void next() {
-        long wait = (long) Math.max(1, exponential.sample() / (baseRate * mostTimes));
-        if (network.now() + wait < network.start() + day.length()) {
-            network.time().in(wait, this::candidate);
+        // Compared before it is added: where nobody calls, the wait is infinite.
+        double wait = Math.max(1, exponential.sample() / (baseRate * mostTimes));
+        if (wait < network.start() + day.length() - network.now()) {
+            network.time().in((long) wait, this::candidate);
         }
     }
 
@@ -182,12 +196,14 @@
         double holding = exponential.sample();
         long seed = draws.nextLong();
         if (calls) {
-            if (fromHot < hotCallerShare) {
-                origin = hotCallers[hot % hotCallers.length];
+            Crowd crowd = drawn(crowds, Crowd::share, fromHot);
+            if (crowd != null) {
+                origin = crowd.places[hot % crowd.places.length];
             }
-            boolean toHot = toHotNumber < hotNumberShare && origin != hotDestination;
-            offer(origin, pickClass(whichClass), toHot ? hotDestination : destination(origin, where),
-                    toHot ? hotNumber : HexFormat.of().toHexDigits(number), holding, seed);
+            HotNumber called = drawn(hotNumbers, HotNumber::share, toHotNumber);
+            boolean toHot = called != null && origin != called.destination;
+            offer(origin, pick(classes, whichClass), toHot ? called.destination : destination(origin, where),
+                    toHot ? called.number : HexFormat.of().toHexDigits(number), holding, seed);
         }
         next();
     }
@@ -201,16 +217,16 @@
         return shape * surge;
     }
 
-    private int pickClass(double u) {
-        double parts = day.classes().stream().mapToDouble(Day.ClassOfCall::part).sum();
+    /** The one whose share a number below 1 falls into; null for none. */
+    private static <T> T drawn(List<T> all, ToDoubleFunction<T> share, double u) {
         double sum = 0;
-        for (int i = 0; i < day.classes().size() - 1; i++) {
-            sum += day.classes().get(i).part() / parts;
+        for (T one : all) {
+            sum += share.applyAsDouble(one);
             if (u < sum) {
-                return i;
+                return one;
             }
         }
-        return day.classes().size() - 1;
+        return null;
     }
 
     /** Guards against the last rounding of a running sum, by which an exchange would call itself. */
@@ -238,15 +254,12 @@
         surge = factor;
     }
 
-    void hotCallers(int[] places, double share) {
-        hotCallers = places;
-        hotCallerShare = share;
+    List<Crowd> crowds() {
+        return crowds;
     }
 
-    void hotNumber(int destination, String number, double share) {
-        hotDestination = destination;
-        hotNumber = number;
-        hotNumberShare = share;
+    List<HotNumber> hotNumbers() {
+        return hotNumbers;
     }
 
     /** Calls that have come in for the first time. */
--- a/src/main/java/wingspread/lab/world/Troubles.java
+++ b/src/main/java/wingspread/lab/world/Troubles.java
@@ -41,23 +41,24 @@
         if (trouble instanceof Trouble.Surge t) {
             surge(t);
         } else if (trouble instanceof Trouble.HotCaller t) {
-            int[] places = some(random, t.exchanges()).stream().mapToInt(node -> node.place).toArray();
-            between(t, () -> traffic.hotCallers(places, t.share()), () -> traffic.hotCallers(new int[0], 0));
+            Traffic.Crowd crowd = new Traffic.Crowd(
+                    some(random, t.exchanges()).stream().mapToInt(node -> node.place).toArray(), t.share());
+            between(t, () -> traffic.crowds().add(crowd), () -> traffic.crowds().remove(crowd));
         } else if (trouble instanceof Trouble.HotNumber t) {
             String number = HexFormat.of().toHexDigits(random.nextLong());
-            int destination = random.nextInt(network.nodes().size());
-            between(t, () -> {
-                network.hotLines().of(number, t.lines());
-                traffic.hotNumber(destination, number, t.share());
-            }, () -> traffic.hotNumber(0, "", 0));
+            Traffic.HotNumber hot = new Traffic.HotNumber(random.nextInt(network.nodes().size()), number, t.share());
+            network.hotLines().add(number, t.lines());
+            between(t, () -> traffic.hotNumbers().add(hot), () -> traffic.hotNumbers().remove(hot));
         } else if (trouble instanceof Trouble.CircuitLoss t) {
-            between(t, () -> loseCircuits(t, random), () -> repair(t.region()));
+            between(t, () -> eachGroupOf(t.region(),
+                    group -> group.lose(t.keep(), random).forEach(network::cut)),
+                    () -> eachGroupOf(t.region(), group -> group.repair(t.keep())));
         } else if (trouble instanceof Trouble.SlowProcessors t) {
             List<Node> slow = some(random, (int) Math.round(t.share() * network.nodes().size()));
             between(t, () -> slow.forEach(node -> node.processor.slow(node.processor.slowness() * t.factor())),
                     () -> slow.forEach(node -> node.processor.slow(node.processor.slowness() / t.factor())));
         } else if (trouble instanceof Trouble.LateReports t) {
-            between(t, () -> network.lateReports(t.delay()), () -> network.lateReports(0));
+            between(t, () -> network.lateReports(t.delay()), () -> network.lateReports(-t.delay()));
         } else if (trouble instanceof Trouble.Crash t) {
             List<Node> struck = some(random, t.exchanges());
             between(t, () -> struck.forEach(this::end),
@@ -127,14 +128,6 @@
         traffic.surge(surges.stream().reduce(1.0, (a, b) -> a * b));
     }
 
-    private void loseCircuits(Trouble.CircuitLoss loss, UniformRandomProvider random) {
-        eachGroupOf(loss.region(), group -> group.keep(loss.keep(), random).forEach(network::cut));
-    }
-
-    private void repair(int region) {
-        eachGroupOf(region, Group::repair);
-    }
-
     /** The groups between a region and the others; both ends are told of what changes. */
     private void eachGroupOf(int region, Consumer<Group> what) {
         for (Node a : network.nodes()) {
--- a/src/test/java/wingspread/lab/ModelTest.java
+++ b/src/test/java/wingspread/lab/ModelTest.java
@@ -7,6 +7,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
@@ -104,6 +105,42 @@
         }
     }
 
+    @Test
+    void whereNobodyCallsTheDayEndsAllTheSame() {
+        Model.Run run = play(Scenario.named("usual").with("load.level = 0"), PLANNER, 1);
+        assertEquals(0, run.calls());
+        assertEquals(List.of(), run.breaches());
+    }
+
+    /** Two troubles of a kind at once add up, and the end of one leaves the other on. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"circuit-loss | region = 0, keep = 0.5",
+        "hot-caller | exchanges = 1, share = 0.3",
+        "hot-number | share = 0.3, lines = 3", "slow-processors | share = 1.0, factor = 2"})
+    void troublesOfOneKindOverlap(String kind, String figures) {
+        String trouble = "{kind = '%s', at = '%s', for = '%s', " + figures + "}";
+        String longOne = trouble.formatted(kind, "5s", "20s");
+        String shortOne = trouble.formatted(kind, "8s", "2s");
+        Scenario base = Scenario.named("usual").with("length = '30s'");
+        double[] alone = play(base.with("trouble = [" + longOne + "]"), PLANNER, 6).timeline().busy();
+        double[] both = play(base.with("trouble = [" + longOne + ", " + shortOne + "]"), PLANNER, 6).timeline().busy();
+        double[] cutShort = play(base.with("trouble = [" + trouble.formatted(kind, "5s", "5s") + "]"), PLANNER, 6)
+                .timeline().busy();
+        assertArrayEquals(Arrays.copyOf(alone, 7), Arrays.copyOf(both, 7));
+        assertTrue(distance(alone, both) < distance(cutShort, both),
+                kind + ": " + distance(alone, both) + " from the long one, " + distance(cutShort, both)
+                + " from one that ends with the short one");
+    }
+
+    /** How far two days lie apart after the short trouble has passed. */
+    private static double distance(double[] one, double[] other) {
+        double sum = 0;
+        for (int i = 14; i < 25; i++) {
+            sum += Math.abs(one[i] - other[i]);
+        }
+        return sum;
+    }
+
     @Test
     void anotherSeedOrReplicationGivesAnotherDay() {
         Scenario usual = Scenario.named("usual");
--- a/src/test/java/wingspread/lab/scenario/ScenarioTest.java
+++ b/src/test/java/wingspread/lab/scenario/ScenarioTest.java
@@ -46,6 +46,8 @@
         "trouble = [{kind = 'surge', at = '1s', for = '1s', rise = '0s'}] | trouble.0 | factor",
         "trouble = [{kind = 'crash', at = '1s', for = '1s', exchanges = 1, keep = 1}] | keep | false",
         "trouble = [{kind = 'circuit-loss', at = '1s', for = '1s', region = 9, keep = 0.5}] | trouble.region | 9",
+        "length = '0s' | length | pattern",
+        "reports.period = '0.0ms' | reports.period | pattern",
         "length = | x.toml:1 | ' '"})
     void whatCannotBeTakenIsNamed(String toml, String place, String why) {
         String message = turnedAway(toml);
@@ -53,6 +55,14 @@
         assertTrue(message.contains(why), message);
     }
 
+    @Test
+    void classesThatNobodyCallsAreTurnedAway() {
+        String nobody = "[[class]]\nname = 'x'\npart = 0\naim = '1s'\ndeadline = '9s'\nworth = 1\nlate-worth = 0\n"
+                + "width = 1\nholding = '1s'\n";
+        assertTrue(turnedAway(nobody).contains("class.part"));
+        assertTrue(turnedAway(nobody.replace("'1s'\n", "'0s'\n")).contains("pattern"));
+    }
+
     @Test
     void aRangeIsDrawnAnewForEachReplicationAndAValueIsNot() {
         Scenario scenario = Scenario.parse("load.level = [0.5, 1.5]\nnet.jitter = 0.25", "x.toml");
