List what the lab's commands can be given, send settings whole, and refuse counts of none

lab list prints the scenarios, one scenario's text, or the figures with bounds; a test gives all of it back to the commands. What was given goes to the host, and all of it.

Measured by tests: 12 scenarios and all figures are listed and can be given again; each complaint is one line.

--- a/src/main/java/wingspread/cli/CompareOptions.java
+++ b/src/main/java/wingspread/cli/CompareOptions.java
@@ -19,7 +19,7 @@
 /** What is compared with what, and how well. */
 final class CompareOptions {
     @Option(names = "--a", defaultValue = "usual", paramLabel = "SETTING",
-            description = "usual, a TOML file with [figures], or figure=value,figure=value (default: usual)")
+            description = "usual, a TOML file with [figures], or figure=value,figure=value ('lab list --figures')")
     private String a;
 
     @Option(names = "--b", defaultValue = "usual", paramLabel = "SETTING", description = "the same for B")
@@ -51,11 +51,14 @@
 
     /** Compares; {@code each} hears of every pair of runs. */
     Comparison compare(Experiment experiment, CommandLine line, BiConsumer<Model.Run, Model.Run> each) {
+        if (stormB && jarB != null) {
+            throw new CommandLine.ParameterException(line, "--storm-b and --jar-b: a version of its own was expected");
+        }
         Setting settingA = Setting.named(a);
         Setting settingB = Setting.named(b);
         Progress progress = Progress.on(line.getErr());
         try (SoftswitchPool poolA = pool(settingA, jarA); SoftswitchPool poolB = poolB(settingB)) {
-            Comparer comparer = new Comparer(experiment, sampling(line),
+            Comparer comparer = new Comparer(experiment, sampling(line, pilot, budget, width),
                     () -> progress.step(budget, "pairs of days"), each);
             Comparison found = comparer.compare(
                     new Variant(name(settingA, jarA), poolA, 0),
@@ -70,7 +73,7 @@
     }
 
     String nameB() {
-        return name(Setting.named(b), jarB) + (stormB && jarB == null ? ", storms damped" : "");
+        return name(Setting.named(b), jarB) + (stormB ? ", storms damped" : "");
     }
 
     private static SoftswitchPool pool(Setting setting, Path jar) {
@@ -79,7 +82,7 @@
     }
 
     private SoftswitchPool poolB(Setting setting) {
-        return stormB && jarB == null
+        return stormB
                 ? SoftswitchPool.local(PlannerController.with(setting.figures(), StormFigures.USUAL))
                 : pool(setting, jarB);
     }
@@ -88,7 +91,7 @@
         return setting.name() + (jar == null ? "" : " on " + jar);
     }
 
-    private Sampling sampling(CommandLine line) {
+    static Sampling sampling(CommandLine line, int pilot, int budget, double width) {
         try {
             return new Sampling(pilot, budget, width);
         } catch (IllegalArgumentException e) {
--- a/src/main/java/wingspread/cli/LabCalibrate.java
+++ b/src/main/java/wingspread/cli/LabCalibrate.java
@@ -14,7 +14,6 @@
 import wingspread.lab.compare.Comparer;
 import wingspread.lab.compare.Comparer.Variant;
 import wingspread.lab.compare.Comparison;
-import wingspread.lab.compare.Sampling;
 import wingspread.lab.host.PlannerController;
 import wingspread.lab.host.SoftswitchPool;
 
@@ -47,13 +46,15 @@
     @Override
     public Integer call() {
         new QuietModules().apply();
+        options.atLeastOne("--comparisons", comparisons);
         PrintWriter out = spec.commandLine().getOut();
         long before = System.nanoTime();
         int declared = 0;
         long pairs = 0;
         try (Experiment experiment = new Experiment(options.scenario(), options.seed(), options.threads());
                 SoftswitchPool pool = SoftswitchPool.local(PlannerController.with(Figures.USUAL))) {
-            Comparer comparer = new Comparer(experiment, new Sampling(pilot, budget, width), () -> { });
+            Comparer comparer = new Comparer(experiment,
+                    CompareOptions.sampling(spec.commandLine(), pilot, budget, width), () -> { });
             for (int i = 0; i < comparisons; i++) {
                 Comparison found = comparer.compare(new Variant("A", pool, 0), new Variant("A again", pool, 1),
                         i * budget);
--- a/src/main/java/wingspread/cli/LabOptions.java
+++ b/src/main/java/wingspread/cli/LabOptions.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import picocli.CommandLine;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Spec;
@@ -13,7 +14,7 @@
 /** What all commands of the laboratory take. */
 final class LabOptions {
     @Option(names = "--scenario", defaultValue = "usual", paramLabel = "NAME|FILE",
-            description = "a shipped scenario or a TOML file (default: ${DEFAULT-VALUE})")
+            description = "a shipped scenario ('lab list' has them) or a TOML file (default: ${DEFAULT-VALUE})")
     private String scenario;
 
     @Option(names = "--set", paramLabel = "TOML",
@@ -55,6 +56,15 @@
     }
 
     int threads() {
-        return Math.max(1, threads);
+        return atLeastOne("--threads", threads);
+    }
+
+    /** A count that was given for an option, if it is one or more. */
+    int atLeastOne(String option, int count) {
+        if (count < 1) {
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                    option + " = " + count + ": 1 or more was expected");
+        }
+        return count;
     }
 }
--- a/src/main/java/wingspread/cli/LabRecord.java
+++ b/src/main/java/wingspread/cli/LabRecord.java
@@ -28,8 +28,7 @@
 
 /** Writes a day's calls as recordings, or says what recordings hold. */
 @Command(name = "record", mixinStandardHelpOptions = true, versionProvider = Version.class,
-        description = {"Says what recordings of traffic hold; with --out, writes the first tries of a scenario day as",
-            "recordings, one for each exchange."})
+        description = "Says what recordings of traffic hold, or writes a scenario's day as such (--out).")
 final class LabRecord implements Callable<Integer> {
     private static final long LONGEST = 1L << 30;
 
--- a/src/main/java/wingspread/cli/LabRun.java
+++ b/src/main/java/wingspread/cli/LabRun.java
@@ -42,7 +42,7 @@
         long before = System.nanoTime();
         try (Experiment experiment = new Experiment(scenario, options.seed(), options.threads());
                 SoftswitchPool pool = SoftswitchPool.local(PlannerController.with(Figures.USUAL))) {
-            int days = Math.max(1, replications);
+            int days = options.atLeastOne("--replications", replications);
             Progress progress = Progress.on(spec.commandLine().getErr());
             List<Model.Run> runs = experiment.each(0, days, n -> {
                 Model.Run run = pool.with(s -> experiment.play(n, s, 0));
--- a/src/main/java/wingspread/control/NamedFigures.java
+++ b/src/main/java/wingspread/control/NamedFigures.java
@@ -81,6 +81,11 @@
         return all.stream().filter(f -> f.name().equals(name)).findFirst().orElseThrow().value();
     }
 
+    /** What was given by name, usual values included; times in microseconds. */
+    public final Map<String, Double> given() {
+        return given;
+    }
+
     /** All figures in the order in which they are declared. */
     public final List<Figure> all() {
         return List.copyOf(all);
--- a/src/main/java/wingspread/lab/Experiment.java
+++ b/src/main/java/wingspread/lab/Experiment.java
@@ -57,8 +57,13 @@
         List<Future<T>> futures = IntStream.range(from, from + count)
                 .mapToObj(number -> threads.submit(() -> what.apply(number))).toList();
         List<T> out = new ArrayList<>();
-        for (Future<T> future : futures) {
-            out.add(get(future));
+        try {
+            for (Future<T> future : futures) {
+                out.add(get(future));
+            }
+        } finally {
+            // Where one fails, those that have not begun need not begin.
+            futures.forEach(future -> future.cancel(false));
         }
         return out;
     }
--- a/src/main/java/wingspread/lab/compare/Setting.java
+++ b/src/main/java/wingspread/lab/compare/Setting.java
@@ -42,7 +42,7 @@
         try {
             return new Setting(name, new Figures(given));
         } catch (IllegalArgumentException e) {
-            throw new TomlException(name + ": figures." + e.getMessage());
+            throw new TomlException(name + ": " + e.getMessage());
         }
     }
 
--- a/src/main/java/wingspread/lab/host/HostLoop.java
+++ b/src/main/java/wingspread/lab/host/HostLoop.java
@@ -44,6 +44,9 @@
 
     private Answer answer(Wire.Order order) {
         if (order instanceof Wire.Begin begin) {
+            if (begin.starts().stream().anyMatch(start -> start == null || start.settings() == null)) {
+                return new Answer("a softswitch without settings", List.of());
+            }
             try {
                 softswitches = maker.apply(new Figures(begin.figures()));
             } catch (IllegalArgumentException e) {
@@ -54,7 +57,8 @@
             return new Answer(null, List.of());
         }
         Wire.Turn turn = (Wire.Turn) order;
-        if (turn.inputs().stream().anyMatch(i -> i.place() < 0 || i.place() >= places || i.happenings() == null)) {
+        if (turn.inputs().stream().anyMatch(i -> i == null || i.place() < 0 || i.place() >= places
+                || i.happenings() == null || i.happenings().contains(null))) {
             return new Answer("a turn of a softswitch that was not begun", List.of());
         }
         return new Answer(null, places == 0 ? List.of() : softswitches.turn(turn.now(), turn.inputs()));
--- a/src/main/java/wingspread/lab/host/RemoteSoftswitches.java
+++ b/src/main/java/wingspread/lab/host/RemoteSoftswitches.java
@@ -10,7 +10,6 @@
 import java.io.OutputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executors;
@@ -18,7 +17,6 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import wingspread.control.Figures;
-import wingspread.control.NamedFigures.Figure;
 
 /**
  * Softswitches of another built jar of this program, run as a process of its own. The model of the network stays
@@ -35,24 +33,20 @@
     });
 
     private final String name;
-    private final Map<String, Double> figures = new HashMap<>();
+    private final Map<String, Double> figures;
     private final Runnable kill;
     private final ObjectMapper mapper = Wire.mapper();
     private final OutputStream out;
     private final MappingIterator<Wire.Answer> answers;
-    private boolean killed;
+    private volatile boolean killed;
 
     /** Speaks with a host at the other end of two streams; {@code kill} ends it. */
     RemoteSoftswitches(String name, Figures figures, InputStream in, OutputStream out, Runnable kill) {
         this.name = name;
         this.kill = kill;
         this.out = out;
-        // Only what differs is sent: another version may lack a figure, or have another usual value for it.
-        for (Figure figure : figures.all()) {
-            if (figure.value() != figure.usual()) {
-                this.figures.put(figure.name(), figure.value());
-            }
-        }
+        // What was given is sent, and all of it: another version may lack a figure, or have another usual value.
+        this.figures = figures.given();
         try {
             JsonParser parser = Wire.reading(mapper, in);
             Wire.Hello hello = watched(() -> parser.readValueAs(Wire.Hello.class));
--- a/src/main/java/wingspread/lab/host/SoftswitchPool.java
+++ b/src/main/java/wingspread/lab/host/SoftswitchPool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -11,6 +12,7 @@
     private final Supplier<Softswitches> maker;
     private final ConcurrentLinkedDeque<Softswitches> idle = new ConcurrentLinkedDeque<>();
     private final List<Softswitches> all = new ArrayList<>();
+    private boolean closed;
 
     /** A pool that makes its fleets so. */
     public SoftswitchPool(Supplier<Softswitches> maker) {
@@ -28,6 +30,11 @@
         if (fleet == null) {
             fleet = maker.get();
             synchronized (all) {
+                // Guards against a fleet that comes up while the pool goes down: nobody else would end it.
+                if (closed) {
+                    fleet.close();
+                    throw new CancellationException("the comparison has ended");
+                }
                 all.add(fleet);
             }
         }
@@ -39,6 +46,7 @@
     @Override
     public void close() {
         synchronized (all) {
+            closed = true;
             all.forEach(Softswitches::close);
         }
     }
--- a/src/main/java/wingspread/lab/scenario/Scenario.java
+++ b/src/main/java/wingspread/lab/scenario/Scenario.java
@@ -18,6 +18,7 @@
     public static final List<String> SHIPPED = List.of("usual", "surge-slow-late", "regional-loss",
             "crash-and-return", "rolling-release", "event-day", "crowd-and-late", "overload", "surge-and-slow",
             "crowd-and-slow", "large", "vast");
+    private static final String FOLDER = "/wingspread/lab/scenarios/";
     private static final String SCHEMA = "/wingspread/lab/scenario.schema.json";
 
     private final String name;
@@ -37,7 +38,7 @@
      */
     public static Scenario named(String name) {
         if (SHIPPED.contains(name)) {
-            return of(name, TomlFile.resource("/wingspread/lab/scenarios/" + name + ".toml", SCHEMA));
+            return of(name, TomlFile.resource(FOLDER + name + ".toml", SCHEMA));
         }
         if (!Files.exists(Path.of(name))) {
             throw new TomlException(name + ": neither a file nor one of " + String.join(", ", SHIPPED));
@@ -52,11 +53,16 @@
 
     private static Scenario of(String name, ObjectNode top) {
         Scenario scenario = new Scenario(name,
-                TomlFile.over(TomlFile.resource("/wingspread/lab/scenarios/usual.toml", SCHEMA), top), null);
+                TomlFile.over(TomlFile.resource(FOLDER + "usual.toml", SCHEMA), top), null);
         scenario.check();
         return scenario;
     }
 
+    /** The text of a shipped scenario. */
+    public static String shippedText(String name) {
+        return TomlFile.text(FOLDER + name + ".toml");
+    }
+
     /** This scenario with more laid over it; what is laid over is checked like a file. */
     public Scenario with(String toml) {
         Scenario scenario = new Scenario(name, TomlFile.over(tree, TomlFile.parse(toml, name + " and more", SCHEMA)),
--- a/src/main/java/wingspread/toml/TomlFile.java
+++ b/src/main/java/wingspread/toml/TomlFile.java
@@ -81,7 +81,8 @@
         return text.replaceAll("\\s+", " ");
     }
 
-    private static String text(String resource) {
+    /** The text of a shipped file. */
+    public static String text(String resource) {
         try (InputStream in = TomlFile.class.getResourceAsStream(resource)) {
             if (in == null) {
                 throw new TomlException(resource + ": is not shipped with this program");
--- a/src/test/java/wingspread/cli/CliTest.java
+++ b/src/test/java/wingspread/cli/CliTest.java
@@ -11,9 +11,14 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
+import wingspread.control.Figures;
+import wingspread.lab.compare.Setting;
+import wingspread.lab.scenario.Scenario;
+import wingspread.lab.sim.Streams;
 
 /** The command line: what it prints and how it ends. */
 class CliTest {
@@ -99,6 +104,47 @@
         assertTrue(err.toString().matches("wingspread: .*cut: cut off after \\d+ calls.*\\R"), err.toString());
     }
 
+    @Test
+    void countsBelowOneAreTurnedAway() {
+        complains("--replications = 0", "lab", "run", "--replications", "0");
+    }
+
+    @Test
+    void aCalibrationOfNothingIsTurnedAway() {
+        complains("--comparisons = 0", "lab", "calibrate", "--comparisons", "0");
+    }
+
+    @Test
+    void aGateInAnotherVersionIsTurnedAway() {
+        complains("--storm-b", "lab", "compare", "--storm-b", "--jar-b", "other.jar");
+    }
+
+    @Test
+    void anUnknownFigureIsNamed() {
+        complains("nope=1: there is no figure 'nope'", "lab", "compare", "--b", "nope=1");
+    }
+
+    @Test
+    void whatIsListedCanBeGivenAgain(@TempDir Path folder) throws IOException {
+        assertEquals(0, run("lab", "list"));
+        assertEquals(Scenario.SHIPPED, out.toString().lines().map(line -> line.split(" ")[0]).toList());
+        out.getBuffer().setLength(0);
+        assertEquals(0, run("lab", "list", "--scenario", "usual"));
+        Path file = Files.writeString(folder.resolve("mine.toml"), out.toString());
+        assertEquals(Scenario.named("usual").day(new Streams(1, 0)),
+                Scenario.named(file.toString()).day(new Streams(1, 0)));
+        out.getBuffer().setLength(0);
+        assertEquals(0, run("lab", "list", "--figures"));
+        String setting = out.toString().lines().skip(1).map(line -> line.split(" +")[0] + "=" + line.split(" +")[1])
+                .collect(Collectors.joining(","));
+        assertEquals(Figures.USUAL.all(), Setting.named(setting).figures().all());
+    }
+
+    @Test
+    void anUnknownScenarioIsNotListed() {
+        complains("surge-slow-late", "lab", "list", "--scenario", "nope");
+    }
+
     @Test
     void aPilotBeyondTheBudgetIsTurnedAway() {
         complains("pilot 8", "lab", "compare", "--pilot", "8", "--budget", "4");
--- a/src/test/java/wingspread/lab/host/HostTest.java
+++ b/src/test/java/wingspread/lab/host/HostTest.java
@@ -14,6 +14,7 @@
 import java.io.PipedInputStream;
 import java.io.PipedOutputStream;
 import java.io.UncheckedIOException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import net.jqwik.api.ForAll;
@@ -88,6 +89,17 @@
         }
     }
 
+    @Test
+    void aUsualValueThatWasGivenGoesAlongToo() throws IOException {
+        ByteArrayOutputStream sent = new ByteArrayOutputStream();
+        InputStream in = new ByteArrayInputStream(bytes(new Wire.Hello("x", Wire.VERSION, "9.9"),
+                new Wire.Answer(null, List.of())));
+        new RemoteSoftswitches("stand-in", new Figures(Map.of("tandems", 2.0)), in, sent, () -> { })
+                .begin(0, List.of());
+        assertEquals(new Wire.Begin(0, Map.of("tandems", 2.0), List.of()),
+                Wire.mapper().readValue(sent.toByteArray(), Wire.Order.class));
+    }
+
     @Test
     void anotherVersionOfTheInterfaceIsTurnedAway() {
         String why = assertThrows(HostException.class, () -> said(new Wire.Hello("x", 2, "9.9"))).getMessage();
@@ -144,6 +156,10 @@
                 new Wire.Turn(1, List.of(new Softswitches.Input(3, List.of())))));
         assertTrue(answers.get(0).error().contains("nope"));
         assertTrue(answers.get(1).error().contains("not begun"));
+        answers = served(bytes(Map.of("is", "begin", "starts", Arrays.asList((Object) null)),
+                Map.of("is", "turn", "inputs", Arrays.asList((Object) null))));
+        assertTrue(answers.get(0).error().contains("without settings"));
+        assertTrue(answers.get(1).error().contains("not begun"));
     }
 
     @Property(tries = 500, seed = "51")
