Spread the waits of a storm within what callers keep to, not beyond it

The gate drew waits of up to 10 s and the planner cut them to the 2 s that callers keep to: everybody whose place in the line lay beyond 2 s was told the same 2 s and came back together, which is what the line is there to prevent. Besides, two accessors of the storm package served tests alone.

The planner makes the gate as it makes the module, of figures whose longest wait lies within the platform's, and cuts nothing; the accessors are gone.

Measured: of 200 redials turned away beyond the line's end fewer than 40 come in the last tenth of the wait, where nearly all did.

--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
@@ -24,6 +25,7 @@
 import wingspread.control.WindowControl;
 import wingspread.turn.Deadlines;
 import wingspread.metrics.Metrics;
+import wingspread.storm.StormFigures;
 import wingspread.storm.StormGate;
 import wingspread.turn.Worker;
 
@@ -98,10 +100,11 @@
         this(clock, settings, figures, seed, mostCalls, exchanges, strangers, metrics, null);
     }
 
-    /** A planner that asks a gate first whether a subscriber's redial may go to the module. */
+    /** A planner that asks a gate of these figures first whether a subscriber's redial may go to the module. */
     public Planner(LongSupplier clock, Settings settings, Figures figures, long seed, int mostCalls,
-            Exchanges exchanges, Caller.Strangers strangers, Metrics metrics, StormGate gate) {
-        this.gate = gate;
+            Exchanges exchanges, Caller.Strangers strangers, Metrics metrics, StormFigures storm) {
+        this.gate = storm == null ? null
+                : new StormGate(storm.within(settings.maxRetryAfter()), new SplittableRandom(~seed), LOG::info);
         this.clock = clock;
         this.settings = settings;
         this.exchanges = exchanges;
@@ -212,7 +215,7 @@
         if (gate != null && !request.transit() && gate.offered(now, request.destination(),
                 request.redial() || request.cut()) instanceof StormGate.TurnedAway away) {
             metrics.count("answered.storm");
-            caller.refused(settings.retryAfter() ? Math.min(away.advised(), settings.maxRetryAfter()) : 0);
+            caller.refused(settings.retryAfter() ? away.advised() : 0);
             return;
         }
         Held held = new Held(request, caller, nextCall++);
--- a/src/main/java/wingspread/lab/host/PlannerController.java
+++ b/src/main/java/wingspread/lab/host/PlannerController.java
@@ -1,12 +1,10 @@
 package wingspread.lab.host;
 
-import java.util.SplittableRandom;
 import wingspread.control.Figures;
 import wingspread.core.Event;
 import wingspread.core.Planner;
 import wingspread.metrics.Metrics;
 import wingspread.storm.StormFigures;
-import wingspread.storm.StormGate;
 
 /** The program's own planner with its module, unchanged. */
 public final class PlannerController implements Controller {
@@ -20,15 +18,13 @@
 
     /** Makes planners whose modules decide by these figures. */
     public static Maker with(Figures figures) {
-        return (clock, settings, seed, exchanges) -> new PlannerController(new Planner(clock, settings, figures, seed,
-                MOST_CALLS, exchanges, (call, cause) -> { }, new Metrics()));
+        return with(figures, null);
     }
 
-    /** The same, with a gate against storms of redials by these figures. */
+    /** The same, with a gate against storms of redials by these figures; null for none. */
     public static Maker with(Figures figures, StormFigures storm) {
         return (clock, settings, seed, exchanges) -> new PlannerController(new Planner(clock, settings, figures, seed,
-                MOST_CALLS, exchanges, (call, cause) -> { }, new Metrics(),
-                new StormGate(storm, new SplittableRandom(~seed), line -> { })));
+                MOST_CALLS, exchanges, (call, cause) -> { }, new Metrics(), storm));
     }
 
     @Override
--- a/src/main/java/wingspread/storm/StormDetector.java
+++ b/src/main/java/wingspread/storm/StormDetector.java
@@ -1,7 +1,7 @@
 package wingspread.storm;
 
 /**
- * Whether callers are dialling again in a storm, toward one destination, one region or in all. What tells is the
+ * Whether callers are dialling again in a storm, among the tries that it is told of. What tells is the
  * ratio of redials to first tries: a crowd of first tries raises both sides of it, or the lower one alone, and is no
  * storm. It begins at one ratio and ends at a lower one that was kept for a time.
  */
@@ -15,7 +15,6 @@
     private boolean storm;
     /** Since when the ratio is below the one at which a storm ends; -1 while it is not. */
     private long calmSince = -1;
-    private long beganAt;
 
     /** A detector that has seen nothing yet. */
     public StormDetector(long now, StormFigures figures) {
@@ -37,7 +36,6 @@
         if (!storm) {
             if (again > figures.leastRedials() && again > figures.onsetRatio() * first) {
                 storm = true;
-                beganAt = now;
                 calmSince = -1;
                 return Change.BEGAN;
             }
@@ -60,11 +58,6 @@
         return storm;
     }
 
-    /** When the last one began, in microseconds on the caller's clock. */
-    public long beganAt() {
-        return beganAt;
-    }
-
     /** Redials a second now. */
     public double redialsPerSecond(long now) {
         return redials.perSecond(now);
--- a/src/main/java/wingspread/storm/StormFigures.java
+++ b/src/main/java/wingspread/storm/StormFigures.java
@@ -14,7 +14,7 @@
  *     tried still
  * @param budgetMost redials that an unused budget adds up to
  * @param longestWait the longest wait that is told
- * @param mostKeys destinations and regions that are watched; beyond, the one heard of longest ago is forgotten
+ * @param mostKeys destinations that are watched; beyond, the one heard of longest ago is forgotten
  */
 public record StormFigures(long window, double onsetRatio, double endRatio, double leastRedials, long endAfter,
         double budgetShare, double budgetFloor, double budgetMost, long longestWait, int mostKeys) {
@@ -22,6 +22,12 @@
     public static final StormFigures USUAL =
             new StormFigures(2_000_000, 0.5, 0.2, 4, 1_000_000, 0.2, 0.5, 10, 10_000_000, 1_024);
 
+    /** The same, with waits of at most what callers keep to: longer ones would all come back together then. */
+    public StormFigures within(long mostWait) {
+        return new StormFigures(window, onsetRatio, endRatio, leastRedials, endAfter, budgetShare, budgetFloor,
+                budgetMost, Math.min(longestWait, mostWait), mostKeys);
+    }
+
     /** Checks what a schema cannot say. */
     public StormFigures {
         if (!(endRatio < onsetRatio)) {
--- a/src/main/java/wingspread/storm/StormGate.java
+++ b/src/main/java/wingspread/storm/StormGate.java
@@ -29,7 +29,6 @@
     private final Consumer<String> log;
     /** By destination, the one heard of longest ago first. */
     private final Map<Integer, Destination> destinations = new LinkedHashMap<>(16, 0.75f, true);
-    private long turnedAway;
 
     /** What is known of one destination. */
     private static final class Destination {
@@ -60,7 +59,6 @@
         if (!again || !known.detector.storm() || known.budget.take(now)) {
             return PASS;
         }
-        turnedAway++;
         double free = figures.budgetShare() * known.through.perSecond(now) + figures.budgetFloor();
         return new TurnedAway(known.schedule.waitFor(now, free));
     }
@@ -77,11 +75,6 @@
         destinations.forEach((number, known) -> tell(now, number, known, known.detector.look(now)));
     }
 
-    /** Tries turned away so far. */
-    public long turnedAway() {
-        return turnedAway;
-    }
-
     /** Destinations that are known, at most as many as the figures say. */
     int known() {
         return destinations.size();
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -5,7 +5,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import wingspread.control.CallControl.CallClass;
@@ -24,7 +23,6 @@
 import wingspread.control.Figures;
 import wingspread.metrics.Metrics;
 import wingspread.storm.StormFigures;
-import wingspread.storm.StormGate;
 
 /** A planner between a recording caller and a recording exchange, on a clock that the test moves. */
 class PlannerTest {
@@ -146,7 +144,7 @@
     void redialsInAStormAreRefusedAtOnceWithAWaitAndNobodyElseIs() {
         Metrics metrics = new Metrics();
         planner = new Planner(() -> now, settings, Figures.USUAL, 7, 1_000, wire, wire, metrics,
-                new StormGate(StormFigures.USUAL, new SplittableRandom(3), line -> { }));
+                StormFigures.USUAL);
         for (int i = 0; i < 200; i++) {
             now += 10_000;
             offer("redial" + i, true, false);
@@ -161,6 +159,15 @@
         offer("first", false, false);
         offer("in transit", true, true);
         assertEquals(refused + 1, metrics.value("answered.storm"));
+        // Those whose place in the line lies beyond what callers keep to are spread as well, not told all the same.
+        long most = settings.maxRetryAfter();
+        int late = 0;
+        for (int i = 0; i < 200; i++) {
+            offer("late" + i, true, false);
+            assertTrue(lastWait > 0 && lastWait <= most, "wait " + lastWait);
+            late += lastWait > most * 9 / 10 ? 1 : 0;
+        }
+        assertTrue(late < 40, late + " of 200 come in the last tenth of the wait");
     }
 
     @Test
--- a/src/test/java/wingspread/storm/StormGateTest.java
+++ b/src/test/java/wingspread/storm/StormGateTest.java
@@ -58,7 +58,6 @@
         long let = test.again.size() - test.turnedAway();
         // A share of 0.2 of 40 first tries, a floor of 0.5, ten seconds; and what went before the storm was seen.
         assertTrue(let < 85 + 10 + 60, let + " of " + test.again.size() + " let through");
-        assertEquals(test.turnedAway(), test.gate.turnedAway());
         assertTrue(test.again.stream().allMatch(v -> !(v instanceof TurnedAway away)
                 || away.advised() >= 1 && away.advised() <= StormFigures.USUAL.longestWait()));
         assertEquals(1, test.lines.size(), test.lines::toString);
--- a/src/test/java/wingspread/storm/StormTest.java
+++ b/src/test/java/wingspread/storm/StormTest.java
@@ -20,6 +20,7 @@
     private static final StormFigures FIGURES = StormFigures.USUAL;
 
     private final List<Change> changes = new ArrayList<>();
+    private long lastChange;
     private final StormDetector detector = new StormDetector(0, FIGURES);
 
     /** So many first tries and redials a second, at random moments. */
@@ -27,18 +28,19 @@
         SplittableRandom random = new SplittableRandom(seed);
         for (long at = fromSecond * SECOND; at < toSecond * SECOND; at += 1_000) {
             if (random.nextDouble() < firstTries / 1_000) {
-                note(detector.tried(at, false));
+                note(at, detector.tried(at, false));
             }
             if (random.nextDouble() < redials / 1_000) {
-                note(detector.tried(at, true));
+                note(at, detector.tried(at, true));
             }
-            note(detector.look(at));
+            note(at, detector.look(at));
         }
     }
 
-    private void note(Change change) {
+    private void note(long at, Change change) {
         if (change != Change.NONE) {
             changes.add(change);
+            lastChange = at;
         }
     }
 
@@ -57,7 +59,7 @@
         test.calls(0, 10, 60, 3, seed);
         test.calls(10, 20, 60, 120, seed + 1);
         assertTrue(test.detector.storm());
-        assertTrue(test.detector.beganAt() < 11 * SECOND, "began at " + test.detector.beganAt());
+        assertTrue(test.lastChange < 11 * SECOND, "began at " + test.lastChange);
         test.calls(20, 40, 60, 3, seed + 2);
         assertEquals(List.of(Change.BEGAN, Change.ENDED), test.changes);
     }
@@ -73,7 +75,7 @@
         calls(0, 5, 10, 100, 8);
         assertTrue(detector.storm());
         for (long at = 5 * SECOND; at < 40 * SECOND; at += 100_000) {
-            note(detector.look(at));
+            note(at, detector.look(at));
         }
         assertEquals(List.of(Change.BEGAN, Change.ENDED), changes);
     }
