Tell storms by region and unmarked redials, share budgets by worth, end them by a ramp

Need: the gate knew storms toward one exchange only, took marked redials alone, had one account for all classes, opened at once after a storm, and ended storms only when somebody dialled.

Change: detectors by destination, region and in all, against the usual ratio as well and beyond what chance makes of few calls; usual ratios learnt a window late, so that no storm is learnt before it is seen; numbers that failed and come again are redials without a mark, unless many call them; callers before their time keep their place; FairBudget divides by worth among those who ask; AdaptiveThrottle, RateGap and spreading alone as other ways; a ramp after storms and returns; looks by a deadline; core.StormDesk between planner and gate; settings by TOML with a schema, in the lab first.

--- a/src/main/java/wingspread/cli/CompareOptions.java
+++ b/src/main/java/wingspread/cli/CompareOptions.java
@@ -4,6 +4,7 @@
 import java.util.function.BiConsumer;
 import picocli.CommandLine;
 import picocli.CommandLine.Option;
+import wingspread.config.StormConfig;
 import wingspread.lab.Experiment;
 import wingspread.lab.compare.Comparer;
 import wingspread.lab.compare.Comparer.Variant;
@@ -14,7 +15,6 @@
 import wingspread.lab.host.RemoteSoftswitches;
 import wingspread.lab.host.SoftswitchPool;
 import wingspread.lab.world.Model;
-import wingspread.storm.StormFigures;
 
 /** What is compared with what, and how well. */
 final class CompareOptions {
@@ -32,8 +32,12 @@
     @Option(names = "--jar-b", paramLabel = "JAR", description = "the same for B")
     private Path jarB;
 
-    @Option(names = "--storm-b", description = "B damps storms of redials (being built; not with --jar-b)")
-    private boolean stormB;
+    @Option(names = "--storm-a", paramLabel = "STORM", description = "A damps storms by these figures:"
+            + " usual, a file as deploy/storm.toml, or damping.method=\"gap\",damping.ramp=\"2s\" (not with --jar-a)")
+    private String stormA;
+
+    @Option(names = "--storm-b", paramLabel = "STORM", description = "the same for B")
+    private String stormB;
 
     @Option(names = "--width", defaultValue = "0.005", paramLabel = "SHARE",
             description = "half the width of the 95%% interval that is asked for (default: 0.005)")
@@ -51,17 +55,19 @@
 
     /** Compares; {@code each} hears of every pair of runs. */
     Comparison compare(Experiment experiment, CommandLine line, BiConsumer<Model.Run, Model.Run> each) {
-        if (stormB && jarB != null) {
-            throw new CommandLine.ParameterException(line, "--storm-b and --jar-b: a version of its own was expected");
+        if (stormA != null && jarA != null || stormB != null && jarB != null) {
+            throw new CommandLine.ParameterException(line,
+                    "a version by its jar and figures for storms on one side: either was expected");
         }
         Setting settingA = Setting.named(a);
         Setting settingB = Setting.named(b);
         Progress progress = Progress.on(line.getErr());
-        try (SoftswitchPool poolA = pool(settingA, jarA); SoftswitchPool poolB = poolB(settingB)) {
+        try (SoftswitchPool poolA = pool(settingA, jarA, stormA);
+                SoftswitchPool poolB = pool(settingB, jarB, stormB)) {
             Comparer comparer = new Comparer(experiment, sampling(line, pilot, budget, width),
                     () -> progress.step(budget, "pairs of days"), each);
             Comparison found = comparer.compare(
-                    new Variant(name(settingA, jarA), poolA, 0),
+                    new Variant(nameA(), poolA, 0),
                     new Variant(nameB(), poolB, freshLuck ? 1 : 0), 0);
             progress.end();
             return found;
@@ -69,26 +75,23 @@
     }
 
     String nameA() {
-        return name(Setting.named(a), jarA);
+        return name(Setting.named(a), jarA, stormA);
     }
 
     String nameB() {
-        return name(Setting.named(b), jarB) + (stormB ? ", storms damped" : "");
-    }
-
-    private static SoftswitchPool pool(Setting setting, Path jar) {
-        return jar == null ? SoftswitchPool.local(PlannerController.with(setting.figures()))
-                : new SoftswitchPool(() -> RemoteSoftswitches.start(jar, setting.figures()));
+        return name(Setting.named(b), jarB, stormB);
     }
 
-    private SoftswitchPool poolB(Setting setting) {
-        return stormB
-                ? SoftswitchPool.local(PlannerController.with(setting.figures(), StormFigures.USUAL))
-                : pool(setting, jarB);
+    private static SoftswitchPool pool(Setting setting, Path jar, String storm) {
+        if (jar != null) {
+            return new SoftswitchPool(() -> RemoteSoftswitches.start(jar, setting.figures()));
+        }
+        return SoftswitchPool.local(PlannerController.with(setting.figures(),
+                storm == null ? null : StormConfig.named(storm).storm()));
     }
 
-    private static String name(Setting setting, Path jar) {
-        return setting.name() + (jar == null ? "" : " on " + jar);
+    private static String name(Setting setting, Path jar, String storm) {
+        return setting.name() + (jar == null ? "" : " on " + jar) + (storm == null ? "" : ", storms: " + storm);
     }
 
     static Sampling sampling(CommandLine line, int pilot, int budget, double width) {
--- /dev/null
+++ b/src/main/java/wingspread/config/StormConfig.java
@@ -0,0 +1,97 @@
+package wingspread.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Path;
+import java.util.Locale;
+import wingspread.storm.ReconnectFigures;
+import wingspread.storm.StormFigures;
+import wingspread.storm.StormFigures.Damping;
+import wingspread.storm.StormFigures.Detection;
+import wingspread.storm.StormFigures.Method;
+import wingspread.storm.StormFigures.Returns;
+import wingspread.toml.Duration;
+import wingspread.toml.TomlException;
+import wingspread.toml.TomlFile;
+
+/** What {@code deploy/storm.toml} says: the usual figures, but for those that it gives. */
+public record StormConfig(StormFigures storm, ReconnectFigures reconnects) {
+    private static final String SCHEMA = "/wingspread/config/storm.schema.json";
+
+    /**
+     * Reads the file; null where it is off.
+     *
+     * @throws TomlException where it cannot be taken
+     */
+    public static StormConfig read(Path file) {
+        if (!Switch.mayBeOn(file)) {
+            return null;
+        }
+        ObjectNode tree = TomlFile.read(file, SCHEMA);
+        return tree.path("enabled").booleanValue() ? from(tree, file.toString()) : null;
+    }
+
+    /**
+     * The figures of a file or, where the text has an {@code =}, of lines of TOML with commas between; whether it says
+     * {@code enabled} does not matter. {@code usual} has the usual ones.
+     *
+     * @throws TomlException where they cannot be taken
+     */
+    public static StormConfig named(String text) {
+        if (text.equals("usual")) {
+            return from(TomlFile.parse("enabled = true", text, SCHEMA), text);
+        }
+        return from(text.contains("=") ? TomlFile.parse(text.replace(',', '\n'), text, SCHEMA)
+                : TomlFile.read(Path.of(text), SCHEMA), text);
+    }
+
+    private static StormConfig from(ObjectNode tree, String name) {
+        try {
+            return new StormConfig(new StormFigures(detection(tree.path("detection")), damping(tree.path("damping")),
+                    returns(tree.path("returns"))), reconnects(tree.path("reconnects")));
+        } catch (IllegalArgumentException e) {
+            throw new TomlException(name + ": " + e.getMessage());
+        }
+    }
+
+    private static Detection detection(JsonNode t) {
+        Detection usual = StormFigures.USUAL.detection();
+        return new Detection(time(t, "window", usual.window()), time(t, "usual-window", usual.usualWindow()),
+                t.path("onset-ratio").asDouble(usual.onsetRatio()), t.path("end-ratio").asDouble(usual.endRatio()),
+                t.path("over-usual").asDouble(usual.overUsual()), t.path("most-usual").asDouble(usual.mostUsual()),
+                t.path("least-redials").asDouble(usual.leastRedials()), time(t, "end-after", usual.endAfter()));
+    }
+
+    private static Damping damping(JsonNode t) {
+        Damping usual = StormFigures.USUAL.damping();
+        Method method = t.has("method") ? Method.valueOf(t.path("method").asText().toUpperCase(Locale.ROOT))
+                : usual.method();
+        return new Damping(method, t.path("budget-share").asDouble(usual.budgetShare()),
+                t.path("budget-floor").asDouble(usual.budgetFloor()),
+                t.path("budget-most").asDouble(usual.budgetMost()), time(t, "ramp", usual.ramp()),
+                t.path("ramp-share").asDouble(usual.rampShare()),
+                t.path("throttle-factor").asDouble(usual.throttleFactor()));
+    }
+
+    private static Returns returns(JsonNode t) {
+        Returns usual = StormFigures.USUAL.returns();
+        return new Returns(time(t, "longest-wait", usual.longestWait()),
+                t.path("spread-refusals").asBoolean(usual.spreadRefusals()),
+                time(t, "redial-time", usual.redialTime()), t.path("most-tries").asInt(usual.mostTries()),
+                time(t, "early", usual.early()), t.path("most-numbers").asInt(usual.mostNumbers()),
+                t.path("most-keys").asInt(usual.mostKeys()));
+    }
+
+    private static ReconnectFigures reconnects(JsonNode t) {
+        ReconnectFigures usual = ReconnectFigures.USUAL;
+        return new ReconnectFigures(t.path("share").asDouble(usual.share()), time(t, "burst", usual.burst()),
+                t.path("surge-factor").asDouble(usual.surgeFactor()),
+                t.path("least-surge").asDouble(usual.leastSurge()),
+                time(t, "first-backoff", usual.firstBackoff()), time(t, "longest-backoff", usual.longestBackoff()),
+                t.path("jitter").asDouble(usual.jitter()));
+    }
+
+    private static long time(JsonNode table, String name, long usual) {
+        return table.has(name) ? Duration.parse(table.path(name).asText()).micros() : usual;
+    }
+}
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -7,8 +7,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
@@ -26,7 +26,7 @@
 import wingspread.turn.Deadlines;
 import wingspread.metrics.Metrics;
 import wingspread.storm.StormFigures;
-import wingspread.storm.StormGate;
+import wingspread.storm.Try;
 import wingspread.turn.Worker;
 
 /**
@@ -52,7 +52,7 @@
     private final Caller.Strangers strangers;
     private final CallControl control;
     /** Null where storms are not damped. */
-    private final StormGate gate;
+    private final StormDesk storms;
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
     private final Deadlines deadlines = new Deadlines();
@@ -74,6 +74,8 @@
         boolean answered;
         /** The module has asked for a set-up that is not carried out yet. */
         boolean asked;
+        /** The try as the gate counts it; null where there is no gate, and for calls in transit. */
+        Try seen;
 
         Held(Request request, Caller caller, long number) {
             this.request = request;
@@ -103,8 +105,7 @@
     /** A planner that asks a gate of these figures first whether a subscriber's redial may go to the module. */
     public Planner(LongSupplier clock, Settings settings, Figures figures, long seed, int mostCalls,
             Exchanges exchanges, Caller.Strangers strangers, Metrics metrics, StormFigures storm) {
-        this.gate = storm == null ? null
-                : new StormGate(storm.within(settings.maxRetryAfter()), new SplittableRandom(~seed), LOG::info);
+        this.storms = storm == null ? null : new StormDesk(clock, settings, storm, seed, metrics, deadlines);
         this.clock = clock;
         this.settings = settings;
         this.exchanges = exchanges;
@@ -190,6 +191,9 @@
         } else if (event instanceof Event.Died e) {
             cutAll(now, e.exchange(), Long.MAX_VALUE);
         } else if (event instanceof Event.Reported e) {
+            if (storms != null) {
+                storms.reported(now, e.exchange(), e.report());
+            }
             control.onReport(now, e.exchange(), Status.OK, 0, e.report());
         } else if (event instanceof Event.Listed e) {
             listed(now, e);
@@ -211,14 +215,14 @@
             caller.refused(settings.maxRetryAfter());
             return;
         }
-        // Guards first tries, and those whose calls stand, against callers who all dial again at once.
-        if (gate != null && !request.transit() && gate.offered(now, request.destination(),
-                request.redial() || request.cut()) instanceof StormGate.TurnedAway away) {
-            metrics.count("answered.storm");
-            caller.refused(settings.retryAfter() ? away.advised() : 0);
-            return;
-        }
         Held held = new Held(request, caller, nextCall++);
+        if (storms != null && !request.transit()) {
+            Optional<Try> seen = storms.offered(now, request, number(request.number()), caller);
+            if (seen.isEmpty()) {
+                return;
+            }
+            held.seen = seen.get();
+        }
         byId.put(request.id(), held);
         byNumber.put(held.number, held);
         descriptions += request.description().length;
@@ -244,10 +248,18 @@
         if (!held.answered) {
             LOG.warn("call {} came to its deadline unanswered", held.request.id());
             control.onDropped(clock.getAsLong(), held.number);
+            failed(held);
             answer(held, "failed", held.caller::failed);
         }
     }
 
+    /** Its caller got nothing and may dial again. */
+    private void failed(Held held) {
+        if (held.seen != null) {
+            storms.failed(held.seen);
+        }
+    }
+
     private void callerEnded(long now, String id, int cause) {
         Held held = byId.get(id);
         if (held != null && held.standing()) {
@@ -273,6 +285,7 @@
         } else {
             metrics.count("taken.given-up");
             held.answered = true;
+            failed(held);
             control.onDropped(now, held.number);
             forgetIfDone(held);
         }
@@ -296,8 +309,8 @@
         }
         attempt.stand();
         control.onStood(now, held.number, attempt.index(), attempt.exchange(), now - attempt.sentAt());
-        if (gate != null && !held.request.transit() && !held.request.redial() && !held.request.cut()) {
-            gate.gotThrough(now, held.request.destination());
+        if (held.seen != null) {
+            storms.gotThrough(now, held.seen);
         }
         answer(held, "stood", () -> held.caller.stands(e.description()));
     }
@@ -324,10 +337,17 @@
             if (entry.readiness() == Readiness.GONE) {
                 cutAll(now, entry.address(), Long.MAX_VALUE);
                 started.remove(entry.address());
+                if (storms != null) {
+                    storms.gone(entry.address());
+                }
                 continue;
             }
             Long before = started.put(entry.address(), entry.upSince());
-            if (before != null && entry.upSince() > before) {
+            boolean restarted = before != null && entry.upSince() > before;
+            if (storms != null) {
+                storms.listed(now, entry, restarted);
+            }
+            if (restarted) {
                 cutAll(now, entry.address(), entry.upSince());
             }
         }
@@ -449,12 +469,16 @@
 
     @Override
     public void refuse(long call, long retryAfter) {
-        actions.add(() -> unansweredCall(call, "refused", held -> held.caller.refused(retryAfter)));
+        actions.add(() -> unansweredCall(call, "refused", held -> held.caller.refused(
+                held.seen == null ? retryAfter : storms.refused(held.seen, retryAfter))));
     }
 
     @Override
     public void fail(long call) {
-        actions.add(() -> unansweredCall(call, "failed", held -> held.caller.failed()));
+        actions.add(() -> unansweredCall(call, "failed", held -> {
+            failed(held);
+            held.caller.failed();
+        }));
     }
 
     /** Guards against a second final answer: what has been answered is left alone. */
--- /dev/null
+++ b/src/test/java/wingspread/config/StormConfigTest.java
@@ -0,0 +1,70 @@
+package wingspread.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wingspread.storm.ReconnectFigures;
+import wingspread.storm.StormFigures;
+import wingspread.toml.TomlException;
+
+class StormConfigTest {
+    @TempDir
+    Path folder;
+
+    private StormConfig read(String text) throws IOException {
+        return StormConfig.read(Files.writeString(folder.resolve("storm.toml"), text));
+    }
+
+    @Test
+    void stormsAreOffAsDeliveredAndWithoutAFile() {
+        assertNull(StormConfig.read(Path.of("deploy/storm.toml")));
+        assertNull(StormConfig.read(folder.resolve("none")));
+    }
+
+    /** The shipped file says what is taken where it says nothing. */
+    @Test
+    void theShippedFileTurnedOnHasTheUsualFigures() throws IOException {
+        StormConfig usual = new StormConfig(StormFigures.USUAL, ReconnectFigures.USUAL);
+        assertEquals(usual, read(Files.readString(Path.of("deploy/storm.toml")).replace("enabled = false",
+                "enabled = true")));
+        assertEquals(usual, read("enabled = true"));
+        assertEquals(usual, StormConfig.named("usual"));
+    }
+
+    @Test
+    void whatTheFileGivesIsTaken() throws IOException {
+        StormConfig config = read("""
+                enabled = true
+                damping.method = "gap"
+                returns.redial-time = "0s"
+                reconnects.jitter = 0.5
+                """);
+        assertEquals(StormFigures.Method.GAP, config.storm().damping().method());
+        assertEquals(0, config.storm().returns().redialTime());
+        assertEquals(0.5, config.reconnects().jitter());
+        assertEquals(StormFigures.USUAL.detection(), config.storm().detection());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "damping.method = \"none\" | damping.method",
+        "detection.end-ratio = 0.6 | end-ratio 0.6 is not below onset-ratio 0.5",
+        "detection.window = 2 | detection.window",
+        "damping.ramp-share = 0.1 | ramp-share is below budget-share",
+        "reconnects.longest-backoff = \"1ms\" | longest-backoff is below first-backoff",
+        "reconnects.share = 0 | reconnects.share",
+        "returns.nope = 1 | nope"})
+    void whatCannotBeTakenIsNamed(String line, String complaint) {
+        TomlException e = assertThrows(TomlException.class, () -> read("enabled = true\n" + line));
+        assertTrue(e.getMessage().contains(complaint), e.getMessage());
+    }
+}
