Pace newcomers by the loop's time and let links wait at random, by deploy/storm.toml

Need: after a restart all callers connect at once and every link knocks at the same beat; accepts took what they liked of the one loop.

Change: net.Newcomers measures what each accept and TLS handshake costs and stops accepting while the listener's share of the loop is spent; surges of connections are told in the log by their usual rate; a link's waits come from storm.Backoff, with full jitter where the file is on and as before where it is off; serve reads deploy/storm.toml.

--- a/src/main/java/wingspread/Main.java
+++ b/src/main/java/wingspread/Main.java
@@ -6,6 +6,7 @@
 import wingspread.cli.Cli;
 import wingspread.config.ConfigException;
 import wingspread.config.SipConfig;
+import wingspread.config.StormConfig;
 import wingspread.config.Switch;
 import wingspread.record.RecordConfig;
 import wingspread.toml.TomlException;
@@ -15,6 +16,7 @@
 public final class Main {
     private static final Logger LOG = LoggerFactory.getLogger(Main.class);
     private static final Path SIP_FILE = Path.of("deploy/sip.toml");
+    private static final Path STORM_FILE = Path.of("deploy/storm.toml");
     private static final Path RECORD_FILE = Path.of("deploy/record.toml");
 
     private Main() { }
@@ -49,7 +51,8 @@
     private static int serve() {
         try {
             new Softswitch(System.getenv(), SipConfig.read(SIP_FILE),
-                    Switch.mayBeOn(RECORD_FILE) ? RecordConfig.read(RECORD_FILE) : null).start();
+                    Switch.mayBeOn(RECORD_FILE) ? RecordConfig.read(RECORD_FILE) : null,
+                    StormConfig.read(STORM_FILE)).start();
             return -1;
         } catch (ConfigException | TomlException | ReflectiveOperationException e) {
             LOG.error("wingspread: {}", e.getMessage());
--- a/src/main/java/wingspread/SipService.java
+++ b/src/main/java/wingspread/SipService.java
@@ -29,6 +29,7 @@
 import wingspread.net.Loop;
 import wingspread.metrics.Metrics;
 import wingspread.sip.Timers;
+import wingspread.storm.ReconnectFigures;
 
 /** The SIP front with its timers, sockets and certificate, where the operators have turned it on. */
 final class SipService {
@@ -40,13 +41,13 @@
     /** Secures new connections; those that are open keep what they began with. Confined to the loop. */
     private SslContext security;
 
-    SipService(Loop loop, SipConfig config, List<CallClass> classes, long seed, Consumer<Event> planner,
-            Metrics metrics) {
+    SipService(Loop loop, SipConfig config, List<CallClass> classes, long seed, ReconnectFigures reconnects,
+            Consumer<Event> planner, Metrics metrics) {
         this.loop = loop;
         this.config = config;
         Timers timers = new Timers(loop::now);
         SipFront front = new SipFront(timers, config, classes, seed, planner, metrics);
-        this.listener = new SipListener(loop, front);
+        this.listener = new SipListener(loop, front, reconnects, metrics);
         loop.serve(timers);
     }
 
--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -5,12 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wingspread.config.ConfigException;
 import wingspread.config.NodeConfig;
 import wingspread.config.SettingsParser;
 import wingspread.config.SipConfig;
+import wingspread.config.StormConfig;
 import wingspread.control.CallControl.CallClass;
 import wingspread.control.CallControl.ListKind;
 import wingspread.control.CallControl.Settings;
@@ -27,6 +29,7 @@
 import wingspread.net.UnixClock;
 import wingspread.record.RecordConfig;
 import wingspread.record.Recorder;
+import wingspread.storm.ReconnectFigures;
 
 /** One real softswitch: a planner, the forwarders round it, its start and its end. */
 final class Softswitch {
@@ -61,19 +64,21 @@
     private boolean ending;
 
     /** A softswitch of the configuration that these variables name. */
-    Softswitch(Map<String, String> environment, SipConfig sipConfig, RecordConfig record) {
+    Softswitch(Map<String, String> environment, SipConfig sipConfig, RecordConfig record, StormConfig storm) {
         this.environment = environment;
         this.config = NodeConfig.read(environment);
         this.startedAt = loop.now();
         SettingsParser.Parsed settings = config.settings();
-        this.links = new Links(loop, settings.connectTimeout(), settings.settings().ownPlace(), this::post, metrics);
+        ReconnectFigures reconnects = storm == null ? ReconnectFigures.OFF : storm.reconnects();
+        this.links = new Links(loop, settings.connectTimeout(), settings.settings().ownPlace(), reconnects,
+                new SplittableRandom(config.seed() + 1), this::post, metrics);
         this.planner = new Planner(loop::now, settings.settings(), Figures.USUAL, config.seed(), MOST_CALLS, links,
-                this::strangerOver, metrics);
+                this::strangerOver, metrics, storm == null ? null : storm.storm());
         this.directory = new Directory(loop, settings.zones(), settings.kinds(), config.seed(), this::told);
         this.front = new JsonlFront(loop, settings.settings().classes(),
-                (int) (config.sockets() * CALLERS_SHARE), this::post, this::ready, metrics);
+                (int) (config.sockets() * CALLERS_SHARE), this::post, this::ready, reconnects, metrics);
         this.sip = Optional.ofNullable(sipConfig).map(c -> new SipService(loop, c, settings.settings().classes(),
-                config.seed(), this::post, metrics));
+                config.seed(), reconnects, this::post, metrics));
         this.recorder = record == null ? null : record.start(startedAt, settings.settings().ownPlace(),
                 settings.settings().softswitches(), classNames(settings.settings()));
         loop.serve(planner);
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -28,6 +28,8 @@
 import wingspread.net.CloseReason;
 import wingspread.net.Loop;
 import wingspread.net.MessageHandler;
+import wingspread.net.Newcomers;
+import wingspread.storm.ReconnectFigures;
 import wingspread.metrics.Metrics;
 
 /** The platform's front: callers' JSON lines over TCP. It decides nothing. */
@@ -46,6 +48,7 @@
     private final Consumer<Event> planner;
     private final BooleanSupplier ready;
     private final Metrics metrics;
+    private final ReconnectFigures reconnects;
     /** The connections, each with the calls that were offered on it and are open or stand. */
     private final Map<Channel, Calls> connections = new LinkedHashMap<>();
     private final Map<String, Leg> standing = new HashMap<>();
@@ -55,7 +58,8 @@
     private Channel lastHeard;
 
     public JsonlFront(Loop loop, List<CallClass> classes, int mostConnections, Consumer<Event> planner,
-            BooleanSupplier ready, Metrics metrics) {
+            BooleanSupplier ready, ReconnectFigures reconnects, Metrics metrics) {
+        this.reconnects = reconnects;
         this.loop = loop;
         this.classes = classes;
         this.admission = new Admission(loop, mostConnections, LONGEST_MUTE, this::idle);
@@ -66,7 +70,7 @@
 
     /** Starts to listen. */
     public ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
+        ServerBootstrap server = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -74,8 +78,11 @@
                     protected void initChannel(SocketChannel channel) {
                         accept(channel);
                     }
-                })
-                .bind(address);
+                });
+        if (reconnects.paced()) {
+            server.handler(new Newcomers(loop, "caller", reconnects, metrics));
+        }
+        ChannelFuture bound = server.bind(address);
         listener = bound.channel();
         return bound;
     }
--- a/src/main/java/wingspread/front/sip/SipListener.java
+++ b/src/main/java/wingspread/front/sip/SipListener.java
@@ -4,7 +4,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.FixedRecvByteBufAllocator;
@@ -13,6 +12,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslHandler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -28,10 +28,13 @@
 import wingspread.net.FrameDecoder;
 import wingspread.net.Loop;
 import wingspread.net.MessageHandler;
+import wingspread.net.Newcomers;
+import wingspread.metrics.Metrics;
 import wingspread.sip.Peer;
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
 import wingspread.sip.Timers;
+import wingspread.storm.ReconnectFigures;
 
 /** The sockets of the SIP front: datagrams, and connections with or without TLS. */
 public final class SipListener implements MessageHandler.Owner<SipMessage> {
@@ -41,12 +44,17 @@
 
     private final Loop loop;
     private final SipFront front;
+    private final ReconnectFigures reconnects;
+    private final Metrics metrics;
     private final Admission admission;
     private final Map<Channel, StreamPeer> streams = new HashMap<>();
     private final List<Channel> listeners = new ArrayList<>();
 
-    public SipListener(Loop loop, SipFront front) {
+    /** Sockets whose newcomers are paced as these figures say. */
+    public SipListener(Loop loop, SipFront front, ReconnectFigures reconnects, Metrics metrics) {
         this.loop = loop;
+        this.reconnects = reconnects;
+        this.metrics = metrics;
         this.front = front;
         this.admission = new Admission(loop, MOST_CONNECTIONS, Timers.PURSUED,
                 channel -> !front.carries(streams.get(channel)));
@@ -68,20 +76,28 @@
      *
      * @param security the handler that secures a new connection, asked for each; null for none
      */
-    public ChannelFuture listenTcp(InetSocketAddress address, Supplier<ChannelHandler> security) {
+    public ChannelFuture listenTcp(InetSocketAddress address, Supplier<SslHandler> security) {
         String transport = security == null ? "TCP" : "TLS";
-        ChannelFuture bound = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
+        Newcomers newcomers = reconnects.paced() ? new Newcomers(loop, "SIP " + transport, reconnects, metrics) : null;
+        ServerBootstrap server = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         if (security != null) {
-                            channel.pipeline().addLast(security.get());
+                            SslHandler handshake = security.get();
+                            if (newcomers != null) {
+                                newcomers.meter(channel, handshake);
+                            }
+                            channel.pipeline().addLast(handshake);
                         }
                         opened(channel, transport);
                     }
-                })
-                .bind(address);
+                });
+        if (newcomers != null) {
+            server.handler(newcomers);
+        }
+        ChannelFuture bound = server.bind(address);
         listeners.add(bound.channel());
         return bound;
     }
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -30,6 +30,7 @@
 import wingspread.metrics.Metrics;
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
+import wingspread.storm.Backoff;
 
 /**
  * The connections to one exchange. The newest that works carries the set-ups; one that has fallen silent is
@@ -40,8 +41,6 @@
     private static final int MOST_CONNECTIONS = 4;
     private static final int MOST_WAITING = 256;
     private static final int MOST_RELEASES = 4_096;
-    private static final long RETRY = 100_000;
-    private static final long RETRY_MAX = 800_000;
 
     private final Loop loop;
     private final long number;
@@ -59,7 +58,7 @@
     private boolean closed;
     private boolean tried;
     private boolean told;
-    private long retry = RETRY;
+    private final Backoff backoff;
     private long branches;
 
     /** What is known of one connection. */
@@ -73,12 +72,13 @@
         }
     }
 
-    Link(Loop loop, long number, InetSocketAddress endpoint, long connectTimeout, Consumer<Event> events,
-            Metrics metrics) {
+    Link(Loop loop, long number, InetSocketAddress endpoint, long connectTimeout, Backoff backoff,
+            Consumer<Event> events, Metrics metrics) {
         this.loop = loop;
         this.number = number;
         this.endpoint = endpoint;
         this.connectTimeout = connectTimeout;
+        this.backoff = backoff;
         this.events = events;
         this.metrics = metrics;
     }
@@ -254,7 +254,7 @@
             f.channel().close();
             return;
         }
-        retry = RETRY;
+        backoff.reset();
         for (Map.Entry<Channel, Open> old : List.copyOf(open.entrySet())) {
             if (old.getValue().silent) {
                 MessageHandler.close(old.getKey(), CloseReason.SILENT);
@@ -286,13 +286,12 @@
             return;
         }
         retrying = true;
-        loop.at(loop.now() + retry, () -> {
+        loop.at(loop.now() + backoff.next(), () -> {
             retrying = false;
             if (best() == null) {
                 connect();
             }
         });
-        retry = Math.min(2 * retry, RETRY_MAX);
     }
 
     private void write(Channel channel, SipMessage message) {
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import wingspread.control.CallControl.Readiness;
 import wingspread.control.CallControl.Status;
 import wingspread.core.Attempt;
@@ -13,6 +14,7 @@
 import wingspread.net.CloseReason;
 import wingspread.net.Loop;
 import wingspread.metrics.Metrics;
+import wingspread.storm.ReconnectFigures;
 
 /** The connections to all exchanges, by the number that the directory gave each. */
 public final class Links implements Exchanges {
@@ -21,9 +23,15 @@
     private final Metrics metrics;
     private final long connectTimeout;
     private final int ownPlace;
+    private final ReconnectFigures reconnects;
+    private final RandomGenerator random;
     private final Map<Long, Link> links = new LinkedHashMap<>();
 
-    public Links(Loop loop, long connectTimeout, int ownPlace, Consumer<Event> planner, Metrics metrics) {
+    /** Links that wait before they connect again as these figures say, with this randomness. */
+    public Links(Loop loop, long connectTimeout, int ownPlace, ReconnectFigures reconnects, RandomGenerator random,
+            Consumer<Event> planner, Metrics metrics) {
+        this.reconnects = reconnects;
+        this.random = random;
         this.loop = loop;
         this.connectTimeout = connectTimeout;
         this.ownPlace = ownPlace;
@@ -41,7 +49,8 @@
             Link link = links.get(number);
             boolean gone = listing.exchange().readiness() == Readiness.GONE;
             if (link == null && !gone) {
-                link = new Link(loop, number, listing.endpoint(), connectTimeout, this::post, metrics);
+                link = new Link(loop, number, listing.endpoint(), connectTimeout,
+                        reconnects.backoff(random), this::post, metrics);
                 links.put(number, link);
             }
             if (link != null && gone) {
--- a/src/test/java/wingspread/SipServiceTest.java
+++ b/src/test/java/wingspread/SipServiceTest.java
@@ -38,6 +38,7 @@
 import wingspread.control.CallControl.RepeatGroup;
 import wingspread.net.Loop;
 import wingspread.metrics.Metrics;
+import wingspread.storm.ReconnectFigures;
 import wingspread.net.UnixClock;
 
 /** TLS on the SIP front, and a change of its certificate while a connection is open. */
@@ -106,7 +107,7 @@
         Loop loop = new Loop(new UnixClock());
         SipService service = new SipService(loop, new SipConfig(null, null, address, "", Map.of("", 1),
                 new SipConfig.Acme("http://127.0.0.1:1/", "sip.test", "", address, Path.of("unused"))),
-                List.of(PLAIN), 7, event -> { }, new Metrics());
+                List.of(PLAIN), 7, ReconnectFigures.OFF, event -> { }, new Metrics());
         secure(loop, service, certificate("first"));
         try (SSLSocket old = connect(address)) {
             assertEquals("SIP/2.0 200 OK", options(old, 1));
--- a/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
+++ b/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
@@ -41,6 +41,7 @@
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
 import wingspread.sip.Timers;
+import wingspread.storm.ReconnectFigures;
 
 /**
  * SIP callers over real datagrams on the loopback, through front, planner and module, to a stand-in exchange.
@@ -235,7 +236,7 @@
         planner = planner();
         Timers timers = new Timers(clock::get);
         SipFront front = new SipFront(timers, SipFrontTest.CONFIG, SipFrontTest.CLASSES, seed, planner::post, metrics);
-        SipListener listener = new SipListener(loop, front);
+        SipListener listener = new SipListener(loop, front, ReconnectFigures.OFF, new Metrics());
         loop.serve(timers);
         loop.serve(planner);
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,7 @@
 import wingspread.metrics.Metrics;
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
+import wingspread.storm.ReconnectFigures;
 import wingspread.testing.Wire;
 
 /** The links toward a stand-in exchange that vanishes, moves or goes. */
@@ -33,7 +35,8 @@
     private final AtomicLong clock = new AtomicLong(1_000_000_000);
     private final Loop loop = new Loop(clock::get);
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
-    private final Links links = new Links(loop, 500_000, 0, events::add, new Metrics());
+    private final Links links = new Links(loop, 500_000, 0, ReconnectFigures.OFF, new SplittableRandom(1),
+            events::add, new Metrics());
     private ServerSocket listener;
 
     @BeforeEach
