--- a/src/main/java/wingspread/cli/LabCommand.java
+++ b/src/main/java/wingspread/cli/LabCommand.java
@@ -8,7 +8,8 @@
 /** The laboratory: a model of a fleet in virtual time. */
 @Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Version.class,
         description = "Plays and compares softswitches on a model of a fleet.", subcommands = {LabList.class,
-            LabRun.class, LabCompare.class, LabReport.class, LabCalibrate.class, LabRecord.class, LabHost.class})
+            LabRun.class, LabCompare.class, LabReport.class, LabCalibrate.class, LabOutage.class,
+            LabRecord.class, LabHost.class})
 final class LabCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/wingspread/lab/host/PlannerController.java
+++ b/src/main/java/wingspread/lab/host/PlannerController.java
@@ -1,5 +1,6 @@
 package wingspread.lab.host;
 
+import java.util.function.Supplier;
 import wingspread.control.Figures;
 import wingspread.core.Event;
 import wingspread.core.Planner;
@@ -23,8 +24,13 @@
 
     /** The same, with a gate against storms of redials by these figures; null for none. */
     public static Maker with(Figures figures, StormFigures storm) {
+        return with(figures, storm, Metrics::new);
+    }
+
+    /** The same, each with counters of its own, which are asked for on the thread that plays the replication. */
+    public static Maker with(Figures figures, StormFigures storm, Supplier<Metrics> counters) {
         return (clock, settings, seed, exchanges) -> new PlannerController(new Planner(clock, settings, figures, seed,
-                MOST_CALLS, exchanges, (call, cause) -> { }, new Metrics(), storm));
+                MOST_CALLS, exchanges, (call, cause) -> { }, counters.get(), storm));
     }
 
     @Override
--- a/src/main/java/wingspread/lab/scenario/Draws.java
+++ b/src/main/java/wingspread/lab/scenario/Draws.java
@@ -36,6 +36,10 @@
                 : node.doubleValue();
     }
 
+    boolean has(String name) {
+        return tree.has(name);
+    }
+
     int whole(String name) {
         return tree.get(name).intValue();
     }
--- a/src/main/java/wingspread/lab/scenario/Scenario.java
+++ b/src/main/java/wingspread/lab/scenario/Scenario.java
@@ -17,7 +17,7 @@
     /** The scenarios that are shipped. */
     public static final List<String> SHIPPED = List.of("usual", "surge-slow-late", "regional-loss",
             "crash-and-return", "rolling-release", "event-day", "crowd-and-late", "overload", "surge-and-slow",
-            "crowd-and-slow", "large", "vast");
+            "crowd-and-slow", "circuits-cut", "large", "vast");
     private static final String FOLDER = "/wingspread/lab/scenarios/";
     private static final String SCHEMA = "/wingspread/lab/scenario.schema.json";
 
@@ -188,7 +188,8 @@
                     Math.min(d.time("rise"), (until - at) / 2));
             case "hot-caller" -> new Trouble.HotCaller(at, until, d.whole("exchanges"), d.number("share"));
             case "hot-number" -> new Trouble.HotNumber(at, until, d.number("share"), d.whole("lines"));
-            case "circuit-loss" -> new Trouble.CircuitLoss(at, until, d.whole("region"), d.number("keep"));
+            case "circuit-loss" -> new Trouble.CircuitLoss(at, until,
+                    d.has("region") ? d.whole("region") : Trouble.CircuitLoss.EVERYWHERE, d.number("keep"));
             case "slow-processors" -> new Trouble.SlowProcessors(at, until, d.number("share"), d.number("factor"));
             case "late-reports" -> new Trouble.LateReports(at, until, d.time("delay"));
             case "crash" -> new Trouble.Crash(at, until, d.whole("exchanges"));
--- a/src/main/java/wingspread/lab/scenario/Trouble.java
+++ b/src/main/java/wingspread/lab/scenario/Trouble.java
@@ -17,8 +17,11 @@
     /** A share of all calls goes to one number, of which so many lines can be busy at once. */
     record HotNumber(long at, long until, double share, int lines) implements Trouble { }
 
-    /** The groups between one region and the others keep a share of their circuits. */
-    record CircuitLoss(long at, long until, int region, double keep) implements Trouble { }
+    /** The groups between one region and the others, or all groups, keep a share of their circuits. */
+    record CircuitLoss(long at, long until, int region, double keep) implements Trouble {
+        /** In place of a region: all groups. */
+        public static final int EVERYWHERE = -1;
+    }
 
     /** A share of the processors, drawn, is slower by a factor. */
     record SlowProcessors(long at, long until, double share, double factor) implements Trouble { }
--- a/src/main/java/wingspread/storm/StormFigures.java
+++ b/src/main/java/wingspread/storm/StormFigures.java
@@ -5,7 +5,7 @@
     /** Where settings say nothing. */
     public static final StormFigures USUAL = new StormFigures(
             new Detection(2_000_000, 60_000_000, 0.5, 0.2, 3, 0.5, 4, 1_000_000),
-            new Damping(Method.BUDGET, 0.2, 0.5, 10, 3_000_000, 1.5, 2),
+            new Damping(Method.BUDGET, 0.5, 0.5, 10, 3_000_000, 1.5, 2),
             new Returns(10_000_000, true, 5_000_000, 4, 200_000, 4_096, 1_024));
 
     /** How redials are held back while there is a storm. */
--- a/src/test/java/wingspread/cli/CliTest.java
+++ b/src/test/java/wingspread/cli/CliTest.java
@@ -124,6 +124,19 @@
         complains("end-ratio 0.9 is not below", "lab", "compare", "--storm-b", "detection.end-ratio=0.9");
     }
 
+    @Test
+    void anOutageIsPlayedWithoutAndWithStormsDamped() {
+        assertEquals(0, run("lab", "outage", "--scenario", "circuits-cut", "--set", "length = '34s'", "--replications",
+                "2"));
+        assertTrue(out.toString().contains("damped: redials are back after"), out.toString());
+        assertTrue(out.toString().contains("the gate: "), out.toString());
+    }
+
+    @Test
+    void anOutageWithoutATroubleIsTurnedAway() {
+        complains("usual: has no trouble", "lab", "outage");
+    }
+
     @Test
     void anUnknownFigureIsNamed() {
         complains("nope=1: there is no figure 'nope'", "lab", "compare", "--b", "nope=1");
