Play scenarios with real softswitch processes on sockets, and add try for a first look

Need: the lab's model knows no sockets, connections, processes or wires; what happens when a process dies with its callers connected was tested by hand-made pieces alone. A newcomer had no command that shows something without a platform.

Change: package testbed stands behind the lab's boundary with serve processes: JSON callers, the platform's SIP from each exchange, DNS, kill and restart, the model's time driven by the wall's; testbed run and try.

--- a/src/main/java/wingspread/cli/Cli.java
+++ b/src/main/java/wingspread/cli/Cli.java
@@ -14,7 +14,8 @@
 
 /** The command line: what {@code serve} and {@code wirehost} alone do not need. */
 @Command(name = "wingspread", mixinStandardHelpOptions = true, versionProvider = Version.class,
-        description = "A softswitch, and a laboratory for it.", subcommands = {LabCommand.class})
+        description = "A softswitch, and a laboratory for it.", subcommands = {TryCommand.class, LabCommand.class,
+            TestbedCommand.class})
 public final class Cli implements Runnable {
     /** Exit code where the command line or a file of settings cannot be taken. */
     public static final int USAGE = 2;
--- a/src/main/java/wingspread/cli/LabRun.java
+++ b/src/main/java/wingspread/cli/LabRun.java
@@ -62,7 +62,8 @@
         }
     }
 
-    private static void print(PrintWriter out, List<Model.Run> runs) {
+    /** Service by class, and every broken rule. */
+    static void print(PrintWriter out, List<Model.Run> runs) {
         List<Service> all = runs.stream().map(Model.Run::service).toList();
         out.printf(Locale.ROOT, "%-18s %8s %8s %8s %8s %8s %9s %9s%n", "class", "service", "calls", "in time", "late",
                 "cut", "median ms", "p99 ms");
--- /dev/null
+++ b/src/main/java/wingspread/cli/TestbedRun.java
@@ -0,0 +1,78 @@
+package wingspread.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import wingspread.lab.scenario.Scenario;
+import wingspread.testbed.SocketSoftswitches.Kill;
+import wingspread.testbed.Testbed;
+import wingspread.toml.Duration;
+
+/** Plays one day of a scenario with real softswitch processes. */
+@Command(name = "run", mixinStandardHelpOptions = true, versionProvider = Version.class,
+        description = "Plays one day of a scenario, in the wall's time, with a real softswitch process for each"
+                + " exchange, and prints the service of each class.",
+        exitCodeListHeading = "Exit codes:%n", exitCodeList = {"0:played, all rules kept", "1:a rule was broken",
+            "2:the command line or a file cannot be taken"})
+final class TestbedRun implements Callable<Integer> {
+    @Parameters(paramLabel = "SCENARIO", description = "a shipped scenario ('lab list' has them) or a TOML file")
+    private String scenario;
+
+    @Option(names = "--set", paramLabel = "TOML", description = "one more line of TOML over the scenario")
+    private String[] more = new String[0];
+
+    @Option(names = "--seed", defaultValue = "1", description = "where the day comes from (default: 1)")
+    private long seed;
+
+    @Option(names = "--storm", paramLabel = "FILE", description = "the deploy/storm.toml of the softswitches")
+    private Path storm;
+
+    @Option(names = "--connections", defaultValue = "8",
+            description = "connections that the callers of each softswitch share (default: 8)")
+    private int connections;
+
+    @Option(names = "--kill", paramLabel = "PLACE@TIME", split = ",",
+            description = "kills the softswitch of a place, which is started again half a second later, as in 0@12s")
+    private List<String> kills = new ArrayList<>();
+
+    @Option(names = "--folder", paramLabel = "DIR",
+            description = "where configurations and logs go (default: a new one among temporary files)")
+    private Path folder;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException {
+        new QuietModules().apply();
+        Scenario read = Scenario.named(scenario);
+        Scenario whole = more.length == 0 ? read : read.with(String.join("\n", more));
+        if (connections < 1) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--connections: 1 or more was expected");
+        }
+        Path where = folder == null ? Files.createTempDirectory("testbed") : Files.createDirectories(folder);
+        Testbed testbed = new Testbed(whole, seed, where, storm == null ? null : Files.readString(storm),
+                connections, kills.stream().map(this::kill).toList());
+        return TestbedTable.print(spec.commandLine().getOut(), whole, testbed.play(), where);
+    }
+
+    private Kill kill(String text) {
+        int at = text.indexOf('@');
+        try {
+            return new Kill(Integer.parseInt(text.substring(0, Math.max(0, at))),
+                    Duration.parse(text.substring(at + 1)).micros());
+        } catch (NumberFormatException e) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--kill " + text
+                    + ": a place and a time were expected, as in 0@12s");
+        }
+    }
+}
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -23,6 +23,7 @@
 import wingspread.core.Planner;
 import wingspread.core.Request;
 import wingspread.json.Json;
+import wingspread.json.LineDecoder;
 import wingspread.net.Admission;
 import wingspread.net.BadInput;
 import wingspread.net.CloseReason;
--- a/src/main/java/wingspread/front/jsonl/LineDecoder.java
+++ b/src/main/java/wingspread/json/LineDecoder.java
@@ -1,8 +1,7 @@
-package wingspread.front.jsonl;
+package wingspread.json;
 
 import java.util.Arrays;
 import java.util.Map;
-import wingspread.json.Json;
 import wingspread.net.BadInput;
 import wingspread.net.FrameDecoder;
 
--- a/src/main/java/wingspread/lab/rules/RuleBook.java
+++ b/src/main/java/wingspread/lab/rules/RuleBook.java
@@ -148,6 +148,11 @@
         return List.copyOf(breaches);
     }
 
+    /** Calls that are owed an answer. */
+    public int owed() {
+        return open.size();
+    }
+
     /** How many there were in all. */
     public long counted() {
         return counted;
--- a/src/main/java/wingspread/lab/world/Model.java
+++ b/src/main/java/wingspread/lab/world/Model.java
@@ -40,6 +40,17 @@
     public record Run(Service service, List<Breach> breaches, long breachCount, long calls, long happened,
             Timeline timeline, @JsonIgnore List<Histogram> delays) { }
 
+    /** How the model's time passes. */
+    public interface Pacing {
+        /** Lets everything happen up to a time of the model. */
+        void runUntil(VirtualTime time, long end);
+
+        /** The run may end once nobody was owed an answer for so long, in microseconds; never early by itself. */
+        default long quiet() {
+            return Long.MAX_VALUE;
+        }
+    }
+
     private final Day day;
     private final Streams streams;
     private final VirtualTime time = new VirtualTime(START);
@@ -57,11 +68,19 @@
     /** The same; {@code heard} is told of each caller's first try. */
     public Model(Day day, Streams streams, Streams controllerSeeds, Softswitches softswitches,
             Consumer<RecordedTraffic.Call> heard) {
+        this(day, streams, controllerSeeds, softswitches, heard, 0);
+    }
+
+    /** The same; the rules about times are judged with so much slack, in microseconds, where time is the wall's. */
+    public Model(Day day, Streams streams, Streams controllerSeeds, Softswitches softswitches,
+            Consumer<RecordedTraffic.Call> heard, long slack) {
         this.day = day;
         this.heard = heard;
         this.streams = streams;
         Obligations obligations = obligations(day);
-        this.rules = new RuleBook(obligations, day.rules().maxAttempts(), day.rules().release(), START);
+        this.rules = new RuleBook(new Obligations(obligations.answerGrace() + slack, obligations.drainGrace() + slack,
+                obligations.askWithin(), obligations.coldShare(), obligations.cold(), obligations.fallMultiple(),
+                obligations.fall()), day.rules().maxAttempts(), Math.max(0, day.rules().release() - slack), START);
         this.tally = new Tally(day);
         this.network = new Network(day, streams, time, rules, tally);
         this.traffic = new Traffic(network, streams);
@@ -90,6 +109,11 @@
 
     /** Plays the day and lets every caller have an answer. */
     public Run play() {
+        return play(VirtualTime::runUntil);
+    }
+
+    /** The same, in a time that passes otherwise. */
+    public Run play(Pacing pacing) {
         sampleLoads();
         for (int second = 0; (second + 1L) * SECOND <= day.length(); second++) {
             int which = second;
@@ -97,7 +121,12 @@
         }
         traffic.begin(heard);
         long longest = day.classes().stream().mapToLong(Day.ClassOfCall::deadline).max().orElse(0);
-        time.runUntil(START + day.length() + 2 * longest + RUN_OUT);
+        pacing.runUntil(time, START + day.length());
+        long end = START + day.length() + 2 * longest + RUN_OUT;
+        for (long quiet = 0; time.getAsLong() < end && quiet < pacing.quiet(); ) {
+            pacing.runUntil(time, Math.min(end, time.getAsLong() + SECOND));
+            quiet = rules.owed() == 0 ? quiet + SECOND : 0;
+        }
         rules.close(time.getAsLong());
         return new Run(tally.service(), rules.breaches(), rules.counted(), traffic.arrivals(), time.happened(),
                 tally.timeline(), tally.delays());
--- /dev/null
+++ b/src/main/java/wingspread/testbed/Ports.java
@@ -0,0 +1,16 @@
+package wingspread.testbed;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+
+/** Free ports of the loopback, found by the kernel. */
+final class Ports {
+    private Ports() { }
+
+    static int free() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return free.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/testbed/SoftswitchProcess.java
@@ -0,0 +1,143 @@
+package wingspread.testbed;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import wingspread.control.CallControl.CallClass;
+import wingspread.control.CallControl.Readiness;
+import wingspread.control.CallControl.Settings;
+
+/** A real softswitch in a process of its own, with its configuration and its log in a folder. */
+final class SoftswitchProcess {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long CONNECT_TIMEOUT = 500_000;
+    private static final int SOCKETS = 8_192;
+    private static final int LONGEST_END = 6;
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-Xmx96m", "-XX:TieredStopAtLevel=1",
+            "-XX:-UsePerfData");
+
+    private final Path folder;
+    private Process process;
+
+    /**
+     * A softswitch that is not started yet.
+     *
+     * @param storm what stands in its {@code deploy/storm.toml}; null for no such file
+     * @throws IOException where its folder cannot be written
+     */
+    SoftswitchProcess(Path folder, String storm) throws IOException {
+        this.folder = Files.createDirectories(folder);
+        if (storm != null) {
+            Files.writeString(Files.createDirectories(folder.resolve("deploy")).resolve("storm.toml"), storm);
+        }
+    }
+
+    /** Writes what the platform would tell it. */
+    void configure(Settings settings, long seed, int port, int namesPort, Collection<NameServer.Named> known)
+            throws IOException {
+        ObjectNode out = JSON.createObjectNode().put("name", "n" + settings.ownPlace())
+                .put("listen", "127.0.0.1:" + port).put("seed", Long.toHexString(seed))
+                .put("names", "127.0.0.1:" + namesPort);
+        out.putObject("limits").put("sockets", SOCKETS);
+        out.set("settings", settings(settings, known));
+        ArrayNode targets = out.putObject("known").put("rev", 1).putArray("notices").addObject().put("rev", 1)
+                .putObject("pool").put("all", true).putArray("targets");
+        for (NameServer.Named one : known) {
+            targets.addObject().put("uid", one.uid()).put("endpoint", "127.0.0.1:" + one.port()).put("az", one.zone())
+                    .put("model", "std").put("pod_group", one.place())
+                    .put("state", one.readiness() == Readiness.READY ? "up" : "draining").put("capacity_hint", 1)
+                    .put("boot_ms", one.startedMs());
+        }
+        JSON.writeValue(folder.resolve("config.json").toFile(), out);
+    }
+
+    private static ObjectNode settings(Settings s, Collection<NameServer.Named> known) {
+        ObjectNode out = JSON.createObjectNode().put("az", s.ownZone()).put("balancers", s.softswitches())
+                .put("rank", s.rank()).put("discovery", "automatic");
+        ArrayNode zones = out.putArray("zones");
+        known.stream().map(NameServer.Named::zone).distinct().sorted().forEach(zones::add);
+        out.putArray("kinds").add("std");
+        ObjectNode family = out.putObject("family-info").put("layout", "network").put("this-node", s.ownPlace())
+                .put("release", s.release());
+        ArrayNode widths = family.putArray("class-width");
+        ArrayNode holding = family.putArray("holding");
+        ArrayNode services = out.putArray("services");
+        for (CallClass one : s.classes()) {
+            widths.add(one.width());
+            holding.add(one.holding());
+            services.addObject().put("name", one.name()).put("aim", one.aim()).put("deadline", one.deadline())
+                    .put("effect", one.effect().name().toLowerCase(Locale.ROOT))
+                    .put("group", one.group().name().toLowerCase(Locale.ROOT)).put("value", one.worth())
+                    .put("late-worth", one.lateWorth());
+        }
+        out.putObject("limits").put("max-attempts", s.maxAttempts()).put("may-cancel", s.cancel())
+                .put("connect-timeout", CONNECT_TIMEOUT).put("retry-after", s.retryAfter())
+                .put("max-retry-after", s.maxRetryAfter());
+        out.putObject("obligations").put("stop-sending-within", s.obligations().drainGrace())
+                .put("cold", s.obligations().cold()).put("cold-share", s.obligations().coldShare())
+                .put("fall", s.obligations().fall()).put("fall-multiple", s.obligations().fallMultiple())
+                .put("grace-to-answer", s.obligations().answerGrace());
+        out.putObject("telemetry").put("via", "piggyback").putArray("fields").add("idle").add("circuits")
+                .add("backlog").add("max_rate");
+        return out;
+    }
+
+    /** Starts it, with this program's own class path. */
+    void start() throws IOException {
+        String path = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+                .map(part -> Path.of(part).toAbsolutePath().toString()).collect(Collectors.joining(File.pathSeparator));
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(FLAGS);
+        command.addAll(List.of("-cp", path, "wingspread.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile());
+        builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
+        builder.environment().remove("LB_NAME");
+        builder.environment().remove("LB_LISTEN");
+        process = builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile())).start();
+    }
+
+    Path log() {
+        return folder.resolve("softswitch.log");
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    /** Ends it without a word to anybody. */
+    void kill() {
+        process.destroyForcibly();
+    }
+
+    /** Asks it to end in good order, all softswitches at once; {@link #awaitEnd} waits. */
+    void end() {
+        if (process != null) {
+            process.destroy();
+        }
+    }
+
+    /** Waits for its end, and forces it after some seconds. */
+    void awaitEnd() throws InterruptedException {
+        if (process != null && !process.waitFor(LONGEST_END, TimeUnit.SECONDS)) {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    /** The lines of its log. */
+    List<String> lines() throws IOException {
+        return Files.exists(log()) ? Files.readAllLines(log()) : List.of();
+    }
+}
--- /dev/null
+++ b/src/main/java/wingspread/testbed/Testbed.java
@@ -0,0 +1,72 @@
+package wingspread.testbed;
+
+import java.nio.file.Path;
+import java.util.List;
+import wingspread.lab.host.HostException;
+import wingspread.lab.scenario.Day;
+import wingspread.lab.scenario.Scenario;
+import wingspread.lab.sim.Streams;
+import wingspread.lab.world.Model;
+import wingspread.testbed.SocketSoftswitches.Kill;
+
+/**
+ * One day of a scenario with real softswitch processes. The laboratory's model plays the exchanges, circuits, callers
+ * and troubles and checks the rules; its time is the wall's, and what it and the softswitches say to each other goes
+ * over sockets. So the same file can be played in both and compared.
+ */
+public final class Testbed {
+    /** More processes than this are no test of anything but the machine. */
+    public static final int MOST_PLACES = 16;
+    /** What the sockets, the poll and the machine's own scheduling may add to a time that a rule is about. */
+    private static final long SLACK = 30_000;
+    private static final String TICK = "tick = \"1ms\"";
+
+    private final Scenario scenario;
+    private final long seed;
+    private final Path folder;
+    private final String storm;
+    private final int connections;
+    private final List<Kill> kills;
+
+    /** What came of it; {@code counters} is one line for each softswitch that ended in good order. */
+    public record Result(Model.Run run, long reconnects, List<String> counters) { }
+
+    /**
+     * A run that has not begun.
+     *
+     * @param storm the text of the softswitches' {@code deploy/storm.toml}; null for none
+     * @param connections of the callers of each softswitch
+     * @throws HostException where the scenario has more exchanges than the machine could carry, or a process that is
+     *     to be killed does not exist
+     */
+    public Testbed(Scenario scenario, long seed, Path folder, String storm, int connections, List<Kill> kills) {
+        this.scenario = scenario.with(TICK);
+        this.seed = seed;
+        this.folder = folder.toAbsolutePath();
+        this.storm = storm;
+        this.connections = connections;
+        this.kills = kills;
+        int places = this.scenario.day(new Streams(seed, 0)).fleet().exchanges();
+        if (places > MOST_PLACES) {
+            throw new HostException(scenario.name() + ": " + places + " exchanges; " + MOST_PLACES
+                    + " at the most were expected, as in --set fleet.exchanges=4");
+        }
+        if (kills.stream().anyMatch(kill -> kill.place() < 0 || kill.place() >= places)) {
+            throw new HostException("--kill: the places run from 0 to " + (places - 1));
+        }
+    }
+
+    /** Starts everything, plays the day and ends everything; takes as long as the day and some seconds more. */
+    public Result play() {
+        Streams streams = new Streams(seed, 0);
+        Day day = scenario.day(streams);
+        SocketSoftswitches softswitches = new SocketSoftswitches(folder, storm, connections, kills);
+        Model.Run run;
+        try {
+            run = new Model(day, streams, streams, softswitches, call -> { }, SLACK).play(softswitches.pacing());
+        } finally {
+            softswitches.close();
+        }
+        return new Result(run, softswitches.reconnects(), softswitches.counters());
+    }
+}
--- a/src/test/java/wingspread/LayersTest.java
+++ b/src/test/java/wingspread/LayersTest.java
@@ -56,8 +56,10 @@
 
     @Test
     void nothingInServiceKnowsTheLab() {
-        holds(noClasses().that().resideOutsideOfPackages("wingspread", "wingspread.cli..", "wingspread.lab..")
-                .should().dependOnClassesThat().resideInAnyPackage("wingspread.lab..", "wingspread.cli..", "picocli..",
+        holds(noClasses().that().resideOutsideOfPackages("wingspread", "wingspread.cli..", "wingspread.lab..",
+                "wingspread.testbed..")
+                .should().dependOnClassesThat().resideInAnyPackage("wingspread.lab..", "wingspread.cli..",
+                        "wingspread.testbed..", "picocli..",
                         "org.HdrHistogram..", "org.apache.commons.."));
     }
 
@@ -65,7 +67,8 @@
     @Test
     void jacksonIsKeptOffTheCallsOfServe() {
         holds(noClasses().that().resideOutsideOfPackages("wingspread.cli..", "wingspread.lab..", "wingspread.toml..",
-                "wingspread.record..").and().doNotHaveSimpleName("SipConfig").and().doNotHaveSimpleName("StormConfig")
+                "wingspread.record..", "wingspread.testbed..")
+                .and().doNotHaveSimpleName("SipConfig").and().doNotHaveSimpleName("StormConfig")
                 .should().dependOnClassesThat().resideInAnyPackage("com.fasterxml.jackson..", "com.networknt.."));
     }
 }
--- a/src/test/java/wingspread/ServeTest.java
+++ b/src/test/java/wingspread/ServeTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import wingspread.front.jsonl.LineDecoder;
+import wingspread.json.LineDecoder;
 import wingspread.net.BadInput;
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
--- a/src/test/java/wingspread/front/jsonl/LineDecoderTest.java
+++ b/src/test/java/wingspread/json/LineDecoderTest.java
@@ -1,4 +1,4 @@
-package wingspread.front.jsonl;
+package wingspread.json;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -9,7 +9,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
-import wingspread.json.Json;
 import wingspread.net.BadInput;
 import wingspread.testing.Fuzz;
 
--- a/src/test/java/wingspread/net/MessageHandlerTest.java
+++ b/src/test/java/wingspread/net/MessageHandlerTest.java
@@ -13,7 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
-import wingspread.front.jsonl.LineDecoder;
+import wingspread.json.LineDecoder;
 
 class MessageHandlerTest {
     private final List<Object> taken = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/wingspread/testbed/NameServerTest.java
@@ -0,0 +1,27 @@
+package wingspread.testbed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import wingspread.control.CallControl.Readiness;
+import wingspread.directory.DnsMessage;
+import wingspread.net.BadInput;
+import wingspread.testbed.NameServer.Named;
+
+class NameServerTest {
+    @Test
+    void theProgramsOwnDirectoryReadsTheAnswer() throws BadInput {
+        byte[] answer = NameServer.answer(DnsMessage.query(77, "_back._tcp.pool.lan"), 70_000, List.of(
+                new Named("x1", "z0", 4, 5_000, Readiness.READY, 0),
+                new Named("x2", "z1", 5, 5_001, Readiness.DRAINING, 1_700_000_000_123L)));
+        DnsMessage message = DnsMessage.parse(answer);
+        assertEquals(77, message.id());
+        List<DnsMessage.Record> records = message.records();
+        assertEquals(new DnsMessage.Srv(0, 10, 5_000, "x1.z0.hosts"), records.get(0));
+        assertEquals(new DnsMessage.Srv(1, 10, 5_001, "x2.z1.hosts"), records.get(1));
+        assertEquals(new DnsMessage.Soa(70_000), records.get(2));
+        assertEquals(new DnsMessage.Text("x2.z1.hosts", List.of("kind=std", "cell=5", "started=1700000000123")),
+                records.get(6));
+    }
+}
--- /dev/null
+++ b/src/test/java/wingspread/testbed/TestbedTest.java
@@ -0,0 +1,104 @@
+package wingspread.testbed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wingspread.lab.host.HostException;
+import wingspread.lab.measure.Service;
+import wingspread.lab.scenario.Scenario;
+import wingspread.testbed.SocketSoftswitches.Kill;
+
+/** Outages on sockets: real softswitch processes among the model's exchanges and callers. */
+class TestbedTest {
+    /** Short calls, so that the circuits are as busy after two seconds as they ever are. */
+    private static final String CLASSES = """
+            [[class]]
+            name = "plain"
+            part = 1
+            aim = "1500ms"
+            deadline = "6s"
+            worth = 1
+            late-worth = 0.1
+            width = 1
+            holding = "2s"
+            """;
+
+    @TempDir
+    Path folder;
+
+    private static Scenario scenario(String more) {
+        return Scenario.parse("""
+                about = "an outage on sockets"
+                length = "7s"
+                fleet = {exchanges = 3, erlangs = 50}
+                load = {level = 0.8, swing = 0, drift-time = "0s"}
+                """ + more + CLASSES, "testbed");
+    }
+
+    private static String storm() throws IOException {
+        return Files.readString(Path.of("deploy/storm.toml")).replace("enabled = false", "enabled = true");
+    }
+
+    private static long counted(Testbed.Result result, String name) {
+        Pattern counter = Pattern.compile(" " + Pattern.quote(name) + "=([0-9]+)");
+        return result.counters().stream().map(counter::matcher).filter(Matcher::find)
+                .mapToLong(found -> Long.parseLong(found.group(1))).sum();
+    }
+
+    private static void keptRulesAndLostNoCall(Testbed.Result result) {
+        Service service = result.run().service();
+        assertEquals(List.of(), result.run().breaches());
+        long ended = service.classes().stream().mapToLong(c -> c.inAim() + c.late() + c.cut()).sum();
+        assertTrue(result.run().calls() > 50, result.run().calls() + " calls");
+        // One that was cut and came again has ended twice.
+        assertTrue(ended + service.counts().lost() >= result.run().calls(),
+                ended + " ended and " + service.counts().lost() + " lost of " + result.run().calls());
+    }
+
+    /** Nobody keeps to a wait, nobody marks a redial, and half of the circuits are gone. */
+    @Test
+    void halfOfTheCircuitsAreCutAndCallersIgnoreEveryWait() throws IOException {
+        Testbed.Result result = new Testbed(scenario("""
+                callers = {redials = 2.9, again = 0.8, honour = 0.0, marked = false}
+                [[trouble]]
+                kind = "circuit-loss"
+                at = "3s"
+                for = "3s"
+                keep = 0.25
+                """), 1, folder, storm(), 4, List.of()).play();
+        keptRulesAndLostNoCall(result);
+        assertEquals(3, result.counters().size());
+        assertTrue(counted(result, "taken.unmarked-redials") > 0, result.counters()::toString);
+        assertTrue(counted(result, "storms.began") > 0, result.counters()::toString);
+        assertTrue(counted(result, "answered.storm") > 0, result.counters()::toString);
+        assertTrue(result.run().service().classes().stream().mapToLong(Service.ByClass::cut).sum() > 0);
+    }
+
+    @Test
+    void aSoftswitchIsKilledWithFiveHundredCallersConnected() throws IOException {
+        Testbed.Result result = new Testbed(scenario("callers = {redials = 2.9}\n"), 2, folder, storm(), 500,
+                List.of(new Kill(0, 3_000_000))).play();
+        keptRulesAndLostNoCall(result);
+        assertEquals(500, result.reconnects());
+        // The one that was killed says nothing at its end; its successor and the two others do.
+        assertEquals(3, result.counters().size());
+        assertEquals(1_503, counted(result, "taken.connections"), 2);
+        assertTrue(result.run().service().result() > 0.7, result.run().service()::toString);
+    }
+
+    @Test
+    void whatTheMachineCannotCarryIsTurnedAway() {
+        assertThrows(HostException.class, () -> new Testbed(Scenario.named("large"), 1, folder, null, 1, List.of()));
+        assertThrows(HostException.class,
+                () -> new Testbed(scenario(""), 1, folder, null, 1, List.of(new Kill(3, 0))));
+    }
+}
