--- a/src/main/java/wingspread/net/Newcomers.java
+++ b/src/main/java/wingspread/net/Newcomers.java
@@ -27,6 +27,7 @@
     private final Metrics metrics;
     private boolean paused;
     private boolean looking;
+    private double peak;
     private double dearestTurn;
     private double turn;
 
@@ -44,6 +45,9 @@
         if (surges.arrived(loop.now())) {
             tell();
         }
+        if (surges.surge()) {
+            peak = Math.max(peak, surges.perSecond(loop.now()));
+        }
         metrics.count("taken.connections");
         long before = System.nanoTime();
         ctx.fireChannelRead(accepted);
@@ -88,9 +92,11 @@
         long now = loop.now();
         LOG.atInfo().addKeyValue("reason", surges.surge() ? "RECONNECTS_BEGAN" : "RECONNECTS_ENDED")
                 .addKeyValue("connections", Math.round(surges.perSecond(now)))
+                .addKeyValue("peak", Math.round(Math.max(peak, surges.perSecond(now))))
                 .addKeyValue("usual", Math.round(surges.usualPerSecond(now)))
                 .addKeyValue("dearest-turn-us", Math.round(dearestTurn)).log("{}: newcomers a second", kind);
         dearestTurn = 0;
+        peak = 0;
         lookLater();
     }
 
