Strike the testbed's softswitches by resets and callers who do not read, not by kills alone

Need: the testbed knew one fault of its own; lost connections and slow readers are what a real network has first.

--- a/src/main/java/wingspread/cli/TestbedRun.java
+++ b/src/main/java/wingspread/cli/TestbedRun.java
@@ -5,7 +5,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -13,7 +16,8 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import wingspread.lab.scenario.Scenario;
-import wingspread.testbed.SocketSoftswitches.Kill;
+import wingspread.testbed.SocketSoftswitches.Fault;
+import wingspread.testbed.SocketSoftswitches.Kind;
 import wingspread.testbed.Testbed;
 import wingspread.toml.Duration;
 
@@ -24,6 +28,8 @@
         exitCodeListHeading = "Exit codes:%n", exitCodeList = {"0:played, all rules kept", "1:a rule was broken",
             "2:the command line or a file cannot be taken"})
 final class TestbedRun implements Callable<Integer> {
+    private static final Pattern FAULT = Pattern.compile("(kill|reset|stall):([0-9]{1,3})@(.+)");
+
     @Parameters(paramLabel = "SCENARIO", description = "a shipped scenario ('lab list' has them) or a TOML file")
     private String scenario;
 
@@ -40,9 +46,10 @@
             description = "connections that the callers of each softswitch share (default: 8)")
     private int connections;
 
-    @Option(names = "--kill", paramLabel = "PLACE@TIME", split = ",",
-            description = "kills the softswitch of a place, which is started again half a second later, as in 0@12s")
-    private List<String> kills = new ArrayList<>();
+    @Option(names = "--fault", paramLabel = "KIND:PLACE@TIME", split = ",", description = "strikes the softswitch of a"
+            + " place: kill (started again after half a second), reset (of its connections to exchanges) or stall (its"
+            + " callers read nothing for two seconds), as in kill:0@12s")
+    private List<String> faults = new ArrayList<>();
 
     @Option(names = "--folder", paramLabel = "DIR",
             description = "where configurations and logs go (default: a new one among temporary files)")
@@ -61,18 +68,17 @@
         }
         Path where = folder == null ? Files.createTempDirectory("testbed") : Files.createDirectories(folder);
         Testbed testbed = new Testbed(whole, seed, where, storm == null ? null : Files.readString(storm),
-                connections, kills.stream().map(this::kill).toList());
+                connections, faults.stream().map(this::fault).toList());
         return TestbedTable.print(spec.commandLine().getOut(), whole, testbed.play(), where);
     }
 
-    private Kill kill(String text) {
-        int at = text.indexOf('@');
-        try {
-            return new Kill(Integer.parseInt(text.substring(0, Math.max(0, at))),
-                    Duration.parse(text.substring(at + 1)).micros());
-        } catch (NumberFormatException e) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "--kill " + text
-                    + ": a place and a time were expected, as in 0@12s");
+    private Fault fault(String text) {
+        Matcher parts = FAULT.matcher(text);
+        if (!parts.matches()) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--fault " + text
+                    + ": kill, reset or stall, a place and a time were expected, as in kill:0@12s");
         }
+        return new Fault(Kind.valueOf(parts.group(1).toUpperCase(Locale.ROOT)), Integer.parseInt(parts.group(2)),
+                Duration.parse(parts.group(3)).micros());
     }
 }
--- a/src/main/java/wingspread/testbed/CallerSide.java
+++ b/src/main/java/wingspread/testbed/CallerSide.java
@@ -32,6 +32,7 @@
  */
 final class CallerSide implements MessageHandler.Owner<Map<?, ?>> {
     private static final long RECONNECT = 50_000;
+    private static final long STALL = 2_000_000;
     private static final int REFUSED = 42;
 
     private final Loop loop;
@@ -112,6 +113,13 @@
         connections.stream().filter(c -> c != null).forEach(Channel::close);
     }
 
+    /** The callers read nothing for a while, and then all that has come. */
+    void stall() {
+        List<Channel> stalled = connections.stream().filter(c -> c != null && c.isActive()).toList();
+        stalled.forEach(channel -> channel.config().setAutoRead(false));
+        loop.at(loop.now() + STALL, () -> stalled.forEach(channel -> channel.config().setAutoRead(true)));
+    }
+
     // What callers do.
 
     void offer(Request request) {
--- a/src/main/java/wingspread/testbed/ExchangeSide.java
+++ b/src/main/java/wingspread/testbed/ExchangeSide.java
@@ -87,6 +87,11 @@
     void die() {
         closed = true;
         listener.close();
+        reset();
+    }
+
+    /** Its connections are reset; it goes on to listen. */
+    void reset() {
         for (Channel channel : List.copyOf(channels)) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
             MessageHandler.close(channel, CloseReason.GONE);
--- a/src/main/java/wingspread/testbed/Place.java
+++ b/src/main/java/wingspread/testbed/Place.java
@@ -150,6 +150,11 @@
         names.name(named);
     }
 
+    /** All its exchanges' connections are reset; on the loop. */
+    void reset() {
+        exchanges.values().forEach(ExchangeSide::reset);
+    }
+
     /** Ends the sockets; on the loop. */
     void close() {
         if (callers != null) {
--- a/src/main/java/wingspread/testbed/SocketSoftswitches.java
+++ b/src/main/java/wingspread/testbed/SocketSoftswitches.java
@@ -29,17 +29,27 @@
     private static final long LONGEST_START = 20;
     private static final long RESTART_AFTER = 500_000;
 
-    /** A process that is killed so many microseconds after the start. */
-    public record Kill(int place, long at) { }
+    /** Something that befalls the softswitch of a place so many microseconds after the start. */
+    public record Fault(Kind kind, int place, long at) { }
+
+    /** What it is. */
+    public enum Kind {
+        /** Its process is killed, and started again half a second later. */
+        KILL,
+        /** All exchanges' connections to it are reset. */
+        RESET,
+        /** Its callers read nothing for two seconds. */
+        STALL
+    }
 
     private final Clock clock = new Clock();
     private final Loop loop = new Loop(new UnixClock());
     private final Path folder;
     private final String storm;
     private final int connections;
-    private final List<Kill> kills;
+    private final List<Fault> faults;
     private final List<Place> places = new ArrayList<>();
-    private final List<Kill> toRestart = new ArrayList<>();
+    private final List<Fault> toRestart = new ArrayList<>();
     private long startsAt;
 
     /**
@@ -48,11 +58,11 @@
      * @param storm the text of their {@code deploy/storm.toml}; null for none
      * @param connections of the callers of each
      */
-    public SocketSoftswitches(Path folder, String storm, int connections, List<Kill> kills) {
+    public SocketSoftswitches(Path folder, String storm, int connections, List<Fault> faults) {
         this.folder = folder;
         this.storm = storm;
         this.connections = connections;
-        this.kills = new ArrayList<>(kills);
+        this.faults = new ArrayList<>(faults);
     }
 
     /** The time by which the model has to be driven. */
@@ -125,14 +135,13 @@
     }
 
     private void faults(long now) {
-        for (Kill kill : List.copyOf(kills)) {
-            if (now >= startsAt + kill.at()) {
-                kills.remove(kill);
-                places.get(kill.place()).process().kill();
-                toRestart.add(new Kill(kill.place(), now + RESTART_AFTER));
+        for (Fault fault : List.copyOf(faults)) {
+            if (now >= startsAt + fault.at()) {
+                faults.remove(fault);
+                strike(fault, now);
             }
         }
-        for (Kill again : List.copyOf(toRestart)) {
+        for (Fault again : List.copyOf(toRestart)) {
             if (now >= again.at()) {
                 toRestart.remove(again);
                 Place place = places.get(again.place());
@@ -141,6 +150,18 @@
         }
     }
 
+    private void strike(Fault fault, long now) {
+        Place place = places.get(fault.place());
+        switch (fault.kind()) {
+            case KILL -> {
+                place.process().kill();
+                toRestart.add(new Fault(Kind.KILL, fault.place(), now + RESTART_AFTER));
+            }
+            case RESET -> loop.execute(place::reset);
+            default -> loop.execute(() -> place.callers().stall());
+        }
+    }
+
     /** Something that may fail on a file. */
     private interface Task {
         void run() throws IOException;
--- a/src/main/java/wingspread/testbed/Testbed.java
+++ b/src/main/java/wingspread/testbed/Testbed.java
@@ -7,7 +7,7 @@
 import wingspread.lab.scenario.Scenario;
 import wingspread.lab.sim.Streams;
 import wingspread.lab.world.Model;
-import wingspread.testbed.SocketSoftswitches.Kill;
+import wingspread.testbed.SocketSoftswitches.Fault;
 
 /**
  * One day of a scenario with real softswitch processes. The laboratory's model plays the exchanges, circuits, callers
@@ -26,7 +26,7 @@
     private final Path folder;
     private final String storm;
     private final int connections;
-    private final List<Kill> kills;
+    private final List<Fault> faults;
 
     /** What came of it; {@code counters} is one line for each softswitch that ended in good order. */
     public record Result(Model.Run run, long reconnects, List<String> counters) { }
@@ -36,23 +36,23 @@
      *
      * @param storm the text of the softswitches' {@code deploy/storm.toml}; null for none
      * @param connections of the callers of each softswitch
-     * @throws HostException where the scenario has more exchanges than the machine could carry, or a process that is
-     *     to be killed does not exist
+     * @throws HostException where the scenario has more exchanges than the machine could carry, or a place that is
+     *     to be struck does not exist
      */
-    public Testbed(Scenario scenario, long seed, Path folder, String storm, int connections, List<Kill> kills) {
+    public Testbed(Scenario scenario, long seed, Path folder, String storm, int connections, List<Fault> faults) {
         this.scenario = scenario.with(TICK);
         this.seed = seed;
         this.folder = folder.toAbsolutePath();
         this.storm = storm;
         this.connections = connections;
-        this.kills = kills;
+        this.faults = faults;
         int places = this.scenario.day(new Streams(seed, 0)).fleet().exchanges();
         if (places > MOST_PLACES) {
             throw new HostException(scenario.name() + ": " + places + " exchanges; " + MOST_PLACES
                     + " at the most were expected, as in --set fleet.exchanges=4");
         }
-        if (kills.stream().anyMatch(kill -> kill.place() < 0 || kill.place() >= places)) {
-            throw new HostException("--kill: the places run from 0 to " + (places - 1));
+        if (faults.stream().anyMatch(fault -> fault.place() < 0 || fault.place() >= places)) {
+            throw new HostException("--fault: the places run from 0 to " + (places - 1));
         }
     }
 
@@ -60,7 +60,7 @@
     public Result play() {
         Streams streams = new Streams(seed, 0);
         Day day = scenario.day(streams);
-        SocketSoftswitches softswitches = new SocketSoftswitches(folder, storm, connections, kills);
+        SocketSoftswitches softswitches = new SocketSoftswitches(folder, storm, connections, faults);
         Model.Run run;
         try {
             run = new Model(day, streams, streams, softswitches, call -> { }, SLACK).play(softswitches.pacing());
