--- a/src/main/java/wingspread/storm/FairBudget.java
+++ b/src/main/java/wingspread/storm/FairBudget.java
@@ -80,11 +80,6 @@
         return common + Arrays.stream(account).sum();
     }
 
-    /** What a class has of its own. */
-    double account(int callClass) {
-        return account[callClass];
-    }
-
     private void payForTime(long now) {
         if (now > paidAt) {
             pay(now, (now - paidAt) / SECOND * figures.budgetFloor());
--- a/src/main/java/wingspread/storm/StormGate.java
+++ b/src/main/java/wingspread/storm/StormGate.java
@@ -9,7 +9,8 @@
 
 /**
  * Holds redials back while callers dial again in a storm, and for a while after it, as far as the destination's budget
- * does not cover them. A first try is never turned away here, and each destination's budget is its own. Whoever is
+ * does not cover them. A first try is never turned away here, unless its number tells that it is a redial without a
+ * mark, and each destination's budget is its own. Whoever is
  * turned away is to be answered at once, with the wait that this gate names.
  */
 public final class StormGate {
@@ -45,6 +46,8 @@
     /** By region; as many as the destinations that are listed name. */
     private final Map<Integer, StormDetector> regions = new HashMap<>();
     private final Map<Integer, Integer> regionOf = new HashMap<>();
+    /** How many there are, over all scopes; told for every call, and so counted and not looked for. */
+    private int storms;
     /** By destination, the one heard of longest ago first. */
     private final Map<Integer, Destination> destinations = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -245,8 +248,7 @@
 
     /** Whether there is a storm anywhere, so that looks are wanted. */
     public boolean stormy() {
-        return all.storm() || regions.values().stream().anyMatch(StormDetector::storm)
-                || destinations.values().stream().anyMatch(known -> known.detector.storm());
+        return storms > 0;
     }
 
     /** Destinations that are known, at most as many as the figures say. */
@@ -258,8 +260,8 @@
         Destination known = destinations.get(number);
         if (known == null) {
             if (destinations.size() >= figures.returns().mostKeys()) {
-                Iterator<Integer> oldest = destinations.keySet().iterator();
-                oldest.next();
+                Iterator<Destination> oldest = destinations.values().iterator();
+                storms -= oldest.next().detector.storm() ? 1 : 0;
                 oldest.remove();
             }
             known = new Destination(now);
@@ -271,6 +273,7 @@
     private void tell(long now, StormNews.Scope scope, int number, StormDetector detector,
             StormDetector.Change change) {
         if (change != StormDetector.Change.NONE) {
+            storms += change == StormDetector.Change.BEGAN ? 1 : -1;
             listener.heard(new StormNews(scope, number, change == StormDetector.Change.BEGAN,
                     detector.redialsPerSecond(now), detector.firstTriesPerSecond(now), detector.usualRatio(now)));
         }
--- a/src/test/java/wingspread/storm/StormGateTest.java
+++ b/src/test/java/wingspread/storm/StormGateTest.java
@@ -294,4 +294,18 @@
         }
         assertEquals(USUAL.returns().mostKeys(), gate.known());
     }
+
+    /** A destination that is forgotten in a storm takes its storm with it. */
+    @Test
+    void noStormIsLeftOverFromADestinationThatIsForgotten() {
+        calls(0, 5, 1, 10, 200, 5);
+        assertTrue(gate.stormy());
+        for (int destination = 2; destination < 2 + USUAL.returns().mostKeys(); destination++) {
+            offer(5 * SECOND, destination, 0, false);
+        }
+        for (int second = 5; second < 60; second++) {
+            gate.look(second * SECOND);
+        }
+        assertTrue(!gate.stormy(), told()::toString);
+    }
 }
