Check and turn on the storm file that the testbed is given, and leave no process behind

Change: the file is checked like the lab's, taken whether it is on or not, and usual or lines of TOML do as well; a shutdown hook ends the softswitches; the test of resets looks for them in the log; two unused counters are gone.

--- a/src/main/java/wingspread/cli/TestbedRun.java
+++ b/src/main/java/wingspread/cli/TestbedRun.java
@@ -15,6 +15,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import wingspread.config.StormConfig;
 import wingspread.lab.scenario.Scenario;
 import wingspread.testbed.SocketSoftswitches.Fault;
 import wingspread.testbed.SocketSoftswitches.Kind;
@@ -39,8 +40,9 @@
     @Option(names = "--seed", defaultValue = "1", description = "where the day comes from (default: 1)")
     private long seed;
 
-    @Option(names = "--storm", paramLabel = "FILE", description = "the deploy/storm.toml of the softswitches")
-    private Path storm;
+    @Option(names = "--storm", paramLabel = "STORM", description = "the softswitches damp storms by these figures,"
+            + " whether or not the file is on: usual, a file as deploy/storm.toml, or damping.method=\"gap\"")
+    private String storm;
 
     @Option(names = "--connections", defaultValue = "8",
             description = "connections that the callers of each softswitch share (default: 8)")
@@ -67,7 +69,7 @@
             throw new CommandLine.ParameterException(spec.commandLine(), "--connections: 1 or more was expected");
         }
         Path where = folder == null ? Files.createTempDirectory("testbed") : Files.createDirectories(folder);
-        Testbed testbed = new Testbed(whole, seed, where, storm == null ? null : Files.readString(storm),
+        Testbed testbed = new Testbed(whole, seed, where, storm == null ? null : StormConfig.turnedOn(storm),
                 connections, faults.stream().map(this::fault).toList());
         return TestbedTable.print(spec.commandLine().getOut(), whole, testbed.play(), where);
     }
--- a/src/main/java/wingspread/config/StormConfig.java
+++ b/src/main/java/wingspread/config/StormConfig.java
@@ -41,8 +41,23 @@
         if (text.equals("usual")) {
             return from(TomlFile.parse("enabled = true", text, SCHEMA), text);
         }
-        return from(text.contains("=") ? TomlFile.parse(text.replace(',', '\n'), text, SCHEMA)
-                : TomlFile.read(Path.of(text), SCHEMA), text);
+        return from(tree(text), text);
+    }
+
+    /**
+     * The text of a file that damps storms by the figures {@link #named} takes, checked, with {@code enabled} on.
+     *
+     * @throws TomlException where they cannot be taken
+     */
+    public static String turnedOn(String text) {
+        named(text);
+        ObjectNode tree = text.equals("usual") ? TomlFile.parse("enabled = true", text, SCHEMA) : tree(text);
+        return TomlFile.write(tree.put("enabled", true));
+    }
+
+    private static ObjectNode tree(String text) {
+        return text.contains("=") ? TomlFile.parse(text.replace(',', '\n'), text, SCHEMA)
+                : TomlFile.read(Path.of(text), SCHEMA);
     }
 
     private static StormConfig from(ObjectNode tree, String name) {
--- a/src/main/java/wingspread/testbed/CallerSide.java
+++ b/src/main/java/wingspread/testbed/CallerSide.java
@@ -43,8 +43,6 @@
     /** Where each call that is owed an answer was offered; those that stand have no entry. */
     private final Map<String, Channel> open = new HashMap<>();
     private long reconnects;
-    private long failedConnects;
-    private long lastReady;
     private boolean closed;
 
     /** Connects so many times. */
@@ -59,20 +57,11 @@
         }
     }
 
-    /** Connections that were opened anew, and tries to do so that failed. */
+    /** Connections that were opened anew. */
     long reconnects() {
         return reconnects;
     }
 
-    long failedConnects() {
-        return failedConnects;
-    }
-
-    /** When the last connection came up, on the loop's clock. */
-    long lastConnected() {
-        return lastReady;
-    }
-
     private void connect(int which) {
         if (closed) {
             return;
@@ -92,13 +81,11 @@
 
     private void connected(int which, ChannelFuture f) {
         if (!f.isSuccess()) {
-            failedConnects++;
             loop.at(loop.now() + RECONNECT, () -> connect(which));
             return;
         }
         reconnects += connections.get(which) == null ? 0 : 1;
         connections.set(which, f.channel());
-        lastReady = loop.now();
         // A test holds the connection open, as a caller's first message does.
         write(f.channel(), "{\"op\":\"test\",\"call\":\"0000000000000001\",\"with\":{},\"why\":0}\n");
     }
--- a/src/main/java/wingspread/testbed/SocketSoftswitches.java
+++ b/src/main/java/wingspread/testbed/SocketSoftswitches.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import wingspread.lab.host.Happening;
@@ -48,8 +49,10 @@
     private final String storm;
     private final int connections;
     private final List<Fault> faults;
-    private final List<Place> places = new ArrayList<>();
+    private final List<Place> places = new CopyOnWriteArrayList<>();
     private final List<Fault> toRestart = new ArrayList<>();
+    /** Guards the machine: where this program is ended from outside, the softswitches do not outlive it. */
+    private final Thread atExit = new Thread(this::killAll, "testbed end");
     private long startsAt;
 
     /**
@@ -63,6 +66,7 @@
         this.storm = storm;
         this.connections = connections;
         this.faults = new ArrayList<>(faults);
+        Runtime.getRuntime().addShutdownHook(atExit);
     }
 
     /** The time by which the model has to be driven. */
@@ -104,6 +108,10 @@
         return out;
     }
 
+    private void killAll() {
+        places.stream().filter(place -> place.process().alive()).forEach(place -> place.process().kill());
+    }
+
     private void startAll(List<Input> inputs) {
         List<Place> fresh = new ArrayList<>();
         for (Input input : inputs) {
@@ -213,11 +221,12 @@
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            places.stream().filter(place -> place.process().alive()).forEach(place -> place.process().kill());
+            killAll();
             throw new CancellationException("interrupted");
         } finally {
             loop.execute(() -> places.forEach(Place::close));
             loop.stop();
+            Runtime.getRuntime().removeShutdownHook(atExit);
         }
     }
 }
--- a/src/main/java/wingspread/toml/TomlFile.java
+++ b/src/main/java/wingspread/toml/TomlFile.java
@@ -81,6 +81,15 @@
         return text.replaceAll("\\s+", " ");
     }
 
+    /** The text of a tree. */
+    public static String write(ObjectNode tree) {
+        try {
+            return new TomlMapper().writeValueAsString(tree);
+        } catch (JsonProcessingException e) {
+            throw new TomlException("settings cannot be written: " + oneLine(e.getOriginalMessage()));
+        }
+    }
+
     /** The text of a shipped file. */
     public static String text(String resource) {
         try (InputStream in = TomlFile.class.getResourceAsStream(resource)) {
--- a/src/test/java/wingspread/config/StormConfigTest.java
+++ b/src/test/java/wingspread/config/StormConfigTest.java
@@ -40,6 +40,14 @@
         assertEquals(usual, StormConfig.named("usual"));
     }
 
+    @Test
+    void aFileThatIsOffIsTurnedOnWithItsFiguresAndABadOneIsNot() throws IOException {
+        Path off = Files.writeString(folder.resolve("off.toml"), "enabled = false\ndamping.ramp = \"7s\"\n");
+        assertEquals(7_000_000, read(StormConfig.turnedOn(off.toString())).storm().damping().ramp());
+        assertEquals(StormFigures.USUAL, read(StormConfig.turnedOn("usual")).storm());
+        assertThrows(TomlException.class, () -> StormConfig.turnedOn("damping.ramp=\"1\""));
+    }
+
     @Test
     void whatTheFileGivesIsTaken() throws IOException {
         StormConfig config = read("""
--- a/src/test/java/wingspread/testbed/TestbedTest.java
+++ b/src/test/java/wingspread/testbed/TestbedTest.java
@@ -108,6 +108,10 @@
                 .filter(breach -> breach.rule() != Breach.Rule.ONE_ANSWER || breach.place() != 2).toList());
         assertEquals(3, result.counters().size());
         assertTrue(result.run().service().result() > 0.7, result.run().service()::toString);
+        for (int place = 0; place < 2; place++) {
+            assertTrue(Files.readString(folder.resolve("place-" + place + "/softswitch.log"))
+                    .matches("(?s).*connection - exchange \\d+ \\S+ ended RESET.*"), "no reset at " + place);
+        }
     }
 
     @Test
