Close callers' connections one by one at a planned end, and answer all before SIGKILL

Calls in transit go on coming on open connections until these end, at 0.6 to 1.77 s after SIGTERM. The program looked at what was unanswered, took 50 ms for last writes and exited (Softswitch.endAfter): a call that came in those 50 ms was lost.

Change. core.PlannedEnd says what comes next: serve, close the listener once its queue is empty, serve, close each connection that owes nothing and holds no part of a message or of an answer, leave when none is left. A call that crosses such a close is sent again by its caller. And no answer is planned for a time when SIGKILL may have come (longest deadline, 3 s at most, and 0.7 s, less 0.3 s): open calls and new ones are capped (Planner.answerBy). That was found by reading; a call in transit with 60 s left was answered by nobody, which ServeTest now plays. The signals are heard before the listener stands.

--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -18,6 +18,7 @@
 import wingspread.control.CallControl.Settings;
 import wingspread.control.Figures;
 import wingspread.core.Event;
+import wingspread.core.PlannedEnd;
 import wingspread.core.Planner;
 import wingspread.directory.Directory;
 import wingspread.directory.Listing;
@@ -39,11 +40,8 @@
     private static final int MOST_CALLS = 4_096;
     /** After the start, exchanges that say nothing are waited for so long at the most. */
     private static final long READY_AT_LATEST = 2_000_000;
-    /** After SIGTERM: requests come in for so long, and an end is looked for so often. */
-    private static final long STILL_COMING = 700_000;
+    /** After SIGTERM: what comes next is looked for so often, and what is written last goes out in so long. */
     private static final long LOOK_EVERY = 20_000;
-    /** Calls that stand may run on for so long beyond that, before they are left to the next program. */
-    private static final long RUN_ON = 1_000_000;
     private static final long LAST_WRITES = 50_000;
 
     /** Prints the counters; the JVM leaves it free, and whoever does not hear it ignores it. */
@@ -61,6 +59,7 @@
     private final long startedAt;
     /** Null where nothing is recorded. */
     private final Recorder recorder;
+    private boolean listening;
     private boolean ending;
 
     /** A softswitch of the configuration that these variables name. */
@@ -90,7 +89,13 @@
 
     /** Starts to serve; returns at once. */
     void start() throws ReflectiveOperationException {
+        // Before the listener stands: a signal that finds no handler ends the program with what was taken.
+        Signals.on("TERM", () -> loop.execute(this::end));
+        Signals.on("INT", () -> loop.execute(this::end));
+        Signals.on("HUP", this::reload);
+        Signals.on(COUNTERS_SIGNAL, () -> loop.execute(() -> LOG.info(metrics.toString())));
         loop.execute(() -> {
+            listening = true;
             sip.ifPresent(SipService::listen);
             directory.known(config.known());
             if (config.names() != null) {
@@ -104,10 +109,6 @@
                 LOG.info("{} listens at {}", config.name(), config.listen());
             });
         });
-        Signals.on("TERM", () -> loop.execute(this::end));
-        Signals.on("INT", () -> loop.execute(this::end));
-        Signals.on("HUP", this::reload);
-        Signals.on(COUNTERS_SIGNAL, () -> loop.execute(() -> LOG.info(metrics.toString())));
     }
 
     /** Reads the configuration anew; of what it holds, the directory's address may change while calls go on. */
@@ -146,33 +147,54 @@
 
     /** Finishes what was taken, hands over what stands, and ends. */
     private void end() {
-        if (!ending) {
-            ending = true;
-            LOG.info("ending: {} calls are unanswered", planner.unanswered());
-            endAfter(loop.now() + STILL_COMING);
+        if (ending) {
+            return;
         }
+        ending = true;
+        if (!listening) {
+            LOG.info("ending: nothing was taken yet");
+            System.exit(0);
+        }
+        PlannedEnd plan = new PlannedEnd(loop.now(),
+                config.settings().settings().classes().stream().mapToLong(CallClass::deadline).max().orElse(0));
+        LOG.info("ending: {} calls are unanswered", planner.unanswered());
+        planner.answerBy(plan.lastAnswer());
+        loop.wantTurn();
+        lookAgain(plan);
     }
 
-    private void endAfter(long earliest) {
+    private void lookAgain(PlannedEnd plan) {
         loop.at(loop.now() + LOOK_EVERY, () -> {
-            boolean runsOn = loop.now() < earliest + RUN_ON && planner.standing() > 0;
-            if (loop.now() < earliest || planner.unanswered() > 0 || runsOn) {
-                endAfter(earliest);
-                return;
-            }
-            front.stopListening();
-            planner.handOver();
-            loop.wantTurn();
-            loop.at(loop.now() + LAST_WRITES, () -> {
-                links.close();
-                front.close();
-                sip.ifPresent(SipService::close);
-                if (recorder != null) {
-                    recorder.close();
+            switch (plan.next(loop.now(), planner.standing(), front.connections())) {
+                case LEAVE -> {
+                    planner.handOver();
+                    loop.wantTurn();
+                    leave();
                 }
-                LOG.info(metrics.toString());
-                System.exit(0);
-            });
+                case STOP_LISTENING -> {
+                    front.stopListening();
+                    lookAgain(plan);
+                }
+                case CLOSE_IDLE -> {
+                    front.closeIdle();
+                    lookAgain(plan);
+                }
+                default -> lookAgain(plan);
+            }
+        });
+    }
+
+    /** Exits a moment later: what was written last has gone out by then. */
+    private void leave() {
+        loop.at(loop.now() + LAST_WRITES, () -> {
+            links.close();
+            front.close();
+            sip.ifPresent(SipService::close);
+            if (recorder != null) {
+                recorder.close();
+            }
+            LOG.info(metrics.toString());
+            System.exit(0);
         });
     }
 }
--- /dev/null
+++ b/src/main/java/wingspread/core/PlannedEnd.java
@@ -0,0 +1,97 @@
+package wingspread.core;
+
+/**
+ * The planned end of a softswitch, from SIGTERM to its exit: what is done next, by what is still owed. Free of I/O; all
+ * times are microseconds on the host's clock.
+ *
+ * <p>The figures are the platform's: new connections keep arriving for 0.4 s at the most, requests on open ones for
+ * 0.2 s beyond that, and SIGKILL comes no earlier than 0.7 s after the longest deadline, which is taken as 3 s where it
+ * is longer. So no answer may be planned for a later time than that, whatever time its caller leaves.
+ */
+public final class PlannedEnd {
+    private static final long LONGEST_DEADLINE = 3_000_000;
+    private static final long KILL_AFTER_DEADLINE = 700_000;
+    /** New connections arrive for so long, and what is late on its way a little longer. */
+    private static final long CONNECTIONS_COME = 500_000;
+    /** Requests arrive for so long on a connection that came up last. */
+    private static final long REQUESTS_COME = 200_000;
+    /** Calls that stand may run on for so long beyond that, before they are left to the next program. */
+    private static final long RUN_ON = 1_000_000;
+    /**
+     * From the last answer to SIGKILL. Guards against a loop that is late by some turns on a part of a core, and covers
+     * the time to notice that all is answered, to flush and to exit.
+     */
+    private static final long TO_FLUSH = 300_000;
+    /** From the latest exit to SIGKILL. */
+    private static final long TO_EXIT = 100_000;
+
+    /** What to do now. */
+    public enum Step {
+        /** Serve on. */
+        SERVE,
+        /** Serve on, but take no further connections: those that are in the listener's queue come first. */
+        STOP_LISTENING,
+        /**
+         * Serve on, and close each connection of callers that carries nothing now. Guards against a request that comes
+         * between the last look and the exit: calls in transit keep coming for as long as a connection is open, and one
+         * that crosses such a close is sent elsewhere by its caller.
+         */
+        CLOSE_IDLE,
+        /** Hand over what stands and leave once what is written has gone out. */
+        LEAVE
+    }
+
+    private final long begun;
+    private final long killed;
+    private boolean listening = true;
+    /** When the listener was closed. */
+    private long closedAt;
+
+    /**
+     * Begins the end.
+     *
+     * @param now when SIGTERM was heard
+     * @param longestDeadline longest time that a class of call leaves
+     */
+    public PlannedEnd(long now, long longestDeadline) {
+        this.begun = now;
+        this.killed = now + Math.min(longestDeadline, LONGEST_DEADLINE) + KILL_AFTER_DEADLINE;
+    }
+
+    /** When every call must have its answer. */
+    public long lastAnswer() {
+        return killed - TO_FLUSH;
+    }
+
+    /** When the program must have left, whatever is still unsent. */
+    public long lastExit() {
+        return killed - TO_EXIT;
+    }
+
+    /**
+     * The next step: SERVE, one STOP_LISTENING, SERVE, CLOSE_IDLE and one LEAVE, in this order.
+     *
+     * @param standing calls that stand
+     * @param connections that callers hold
+     */
+    public Step next(long now, long standing, int connections) {
+        if (listening) {
+            if (now < begun + CONNECTIONS_COME && now < lastAnswer() - REQUESTS_COME) {
+                return Step.SERVE;
+            }
+            listening = false;
+            closedAt = now;
+            return Step.STOP_LISTENING;
+        }
+        if (now >= lastExit()) {
+            return Step.LEAVE;
+        }
+        boolean come = now >= closedAt + REQUESTS_COME;
+        boolean runOut = standing == 0 || now >= closedAt + REQUESTS_COME + RUN_ON
+                || now >= lastAnswer() - REQUESTS_COME;
+        if (!come || !runOut) {
+            return Step.SERVE;
+        }
+        return connections > 0 ? Step.CLOSE_IDLE : Step.LEAVE;
+    }
+}
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -64,6 +64,8 @@
     private final Set<String> over = new LinkedHashSet<>();
     private long nextCall = 1;
     private long descriptions;
+    /** No answer is given later than this; {@link Long#MAX_VALUE} until an end is planned. */
+    private long lastAnswer = Long.MAX_VALUE;
 
     /** A call from its coming in until nothing of it is awaited. */
     private static final class Held {
@@ -139,6 +141,20 @@
         return deadlines.next();
     }
 
+    /**
+     * From now on every call has its answer by this time at the latest, whatever time its caller leaves: those that are
+     * open and those that still come in, which the module hears of with so much less time. Guards against SIGKILL,
+     * which may come before their callers' time is up.
+     */
+    public void answerBy(long latest) {
+        lastAnswer = Math.min(lastAnswer, latest);
+        for (Held held : byId.values()) {
+            if (!held.answered && held.request.deadline() > lastAnswer) {
+                deadlines.add(lastAnswer, () -> actions.add(() -> overdue(held)));
+            }
+        }
+    }
+
     /** Calls that are owed an answer. */
     public long unanswered() {
         return byId.values().stream().filter(held -> !held.answered).count();
@@ -200,7 +216,8 @@
         }
     }
 
-    private void offered(long now, Request request, Caller caller) {
+    private void offered(long now, Request asked, Caller caller) {
+        Request request = asked.by(lastAnswer);
         metrics.count("taken.calls");
         // Guards against a set-up under the id of a call that is open, which must not start a second attempt: it
         // fails, whatever else it asks for, and the first one goes on.
@@ -246,7 +263,8 @@
      */
     private void overdue(Held held) {
         if (!held.answered) {
-            LOG.warn("call {} came to its deadline unanswered", held.request.id());
+            boolean early = held.request.deadline() > lastAnswer;
+            LOG.warn("call {} came to {} unanswered", held.request.id(), early ? "the planned end" : "its deadline");
             control.onDropped(clock.getAsLong(), held.number);
             failed(held);
             answer(held, "failed", held.caller::failed);
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -40,6 +40,8 @@
     /** A caller sends its call with the connection; what says nothing for so long holds a descriptor for nothing. */
     private static final long LONGEST_MUTE = 2_500_000;
     private static final int MOST_RELEASES = 4_096;
+    /** The loop reads what is ready before it plays what is due so much later. */
+    private static final long LOOK_AGAIN = 1_000;
     /** Milliseconds; guards the deadline against figures that would overflow it. */
     private static final double LONGEST_WAIT = 86_400_000;
 
@@ -55,6 +57,8 @@
     private final Map<String, Leg> standing = new HashMap<>();
     private final ArrayDeque<String> unsentReleases = new ArrayDeque<>();
     private Channel listener;
+    /** Connections that have come up. */
+    private long accepted;
     /** The connection that the last call came on; null before the first. */
     private Channel lastHeard;
 
@@ -88,9 +92,32 @@
         return bound;
     }
 
-    /** Stops to listen; connections stay. */
+    /**
+     * Stops to listen; connections stay. Guards against a reset of those that have come up and wait to be accepted:
+     * the listener is closed after a look at its queue that found none.
+     */
     public void stopListening() {
-        listener.close();
+        long before = accepted;
+        loop.at(loop.now() + LOOK_AGAIN, () -> {
+            if (accepted == before) {
+                listener.close();
+            } else {
+                stopListening();
+            }
+        });
+    }
+
+    /** How many connections are open. */
+    public int connections() {
+        return connections.size();
+    }
+
+    /** Closes the connections that owe no answer, have sent it whole and hold no part of a message. */
+    public void closeIdle() {
+        connections.entrySet().stream()
+                .filter(e -> e.getValue().open.isEmpty() && !MessageHandler.busy(e.getKey()))
+                .map(Map.Entry::getKey).toList()
+                .forEach(c -> MessageHandler.close(c, CloseReason.SHUTDOWN));
     }
 
     /** Closes all connections. */
@@ -102,6 +129,7 @@
         channel.pipeline().addLast(new MessageHandler<>("caller", new LineDecoder(), this));
         connections.put(channel, new Calls());
         admission.opened(channel);
+        accepted++;
     }
 
     private boolean idle(Channel channel) {
--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
 import java.util.Arrays;
@@ -55,6 +56,13 @@
         channel.close();
     }
 
+    /** Whether a message is there in part, or what was written has not gone out whole. */
+    public static boolean busy(Channel channel) {
+        MessageHandler<?> handler = channel.pipeline().get(MessageHandler.class);
+        ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+        return handler != null && handler.to > handler.from || unsent != null && unsent.totalPendingWriteBytes() > 0;
+    }
+
     /** Writes without a flush; gives up a connection whose other side does not read. */
     public static void write(Channel channel, ByteBuf message) {
         channel.write(message, channel.voidPromise());
--- a/src/test/java/wingspread/ServeTest.java
+++ b/src/test/java/wingspread/ServeTest.java
@@ -311,6 +311,22 @@
         assertEquals(ID, told("end").get("call"));
     }
 
+    @Test
+    void afterSigtermACallIsAnsweredBeforeSigkillWhateverTimeItsCallerLeaves() throws Exception {
+        process.toHandle().destroy();
+        try (Wire<Map<?, ?>> late = connect()) {
+            asksUntil(late, 0);
+        }
+        caller.send("{\"op\":\"offer\",\"call\":\"" + ID + "\",\"with\":{\"class\":\"plain\",\"left\":\"60000\","
+                + "\"key\":\"00FF\",\"extras\":\"dest:1;width:1;via:2;transit:1\"},\"desc\":\"\"}\n");
+        heard("INVITE");
+        assertEquals(ID, told("end").get("call"));
+        assertTrue(caller.closed());
+        assertEquals(ID, heard("CANCEL").callId());
+        assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
     @Test
     void callsAreRecordedWhereTheFileUnderDeploySaysSo() throws Exception {
         process.destroyForcibly().waitFor();
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -259,6 +259,29 @@
         heard("release a 41", "over 41");
     }
 
+    private void offerInTransit(String id) {
+        play(new Event.Offered(new Request(id, "plain", 0, "ab" + id, DESCRIPTION, now + 3 * LEFT, 1, 1, 2, false, true,
+                false), wire));
+    }
+
+    @Test
+    void anEndThatIsPlannedAnswersEveryCallInTimeWhateverItsCallerLeaves() {
+        offerInTransit("open");
+        heard("invite open 1");
+        planner.answerBy(now + LEFT);
+        pass(LEFT / 2);
+        offerInTransit("late");
+        heard("invite late 1");
+        pass(LEFT / 2 - 1);
+        assertEquals(1, planner.unanswered());
+        said.clear();
+        pass(1);
+        heard("failed", "withdraw open");
+        assertEquals(0, planner.unanswered());
+        play(new Event.Answered(1, "open", DESCRIPTION));
+        heard("release open 16");
+    }
+
     @Test
     void aCallerThatReleasesAStandingCallReleasesTheExchange() {
         offer("a");
