Answer a set-up that its caller gives up, so that one whose time is up still hears an end

Planner.givenUp then took the call as owed nothing and said nothing; the caller, whose time had run out, went on waiting for half a second for any answer. Ruled out: an answer dropped by a connection (it stayed up), a deadline missed by the planner (none logged), the exit.

Planner.givenUp tells the caller once, in the turn in which it hears of it; the JSON front says a release with cause 16. It is the call's one final answer, and SIP says 487 by its own transaction as before.

--- a/src/main/java/wingspread/core/Caller.java
+++ b/src/main/java/wingspread/core/Caller.java
@@ -11,6 +11,13 @@
     /** Final answer: failed. */
     void failed();
 
+    /**
+     * Heard that the caller gives the set-up up, before any answer was given. Guards against a caller whose time is up
+     * a moment before the answer comes: it still waits for that for a while, and would never hear one. A wire on which
+     * giving up has an answer of its own says nothing here.
+     */
+    default void givenUp() { }
+
     /** A call that stood is over. */
     void over(int cause);
 
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -303,6 +303,7 @@
         } else {
             metrics.count("taken.given-up");
             held.answered = true;
+            held.caller.givenUp();
             failed(held);
             control.onDropped(now, held.number);
             forgetIfDone(held);
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -341,6 +341,11 @@
             answer(line("end", id, "", Planner.CUT, null));
         }
 
+        @Override
+        public void givenUp() {
+            answer(line("end", id, "", Planner.NORMAL, null));
+        }
+
         @Override
         public void over(int cause) {
             JsonlFront.this.ended(standing.get(id));
--- a/src/test/java/wingspread/ServeTest.java
+++ b/src/test/java/wingspread/ServeTest.java
@@ -177,6 +177,7 @@
         SipMessage invite = heard("INVITE");
         caller.send("{\"op\":\"end\",\"call\":\"" + ID + "\",\"with\":{},\"why\":16}\n");
         heard("CANCEL");
+        assertEquals(16.0, told("end").get("why"));
         answer(invite, 200);
         heard("ACK");
         assertEquals(ID, heard("BYE").callId());
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -62,6 +62,11 @@
             said.add("stands " + description.length);
         }
 
+        @Override
+        public void givenUp() {
+            said.add("given up");
+        }
+
         @Override
         public void refused(long wait) {
             lastWait = wait;
@@ -201,10 +206,10 @@
     }
 
     @Test
-    void aCallerThatGivesUpGetsNoAnswerAndItsSetUpIsWithdrawn() {
+    void aCallerThatGivesUpHearsThatOnceAndItsSetUpIsWithdrawn() {
         offer("a");
         play(new Event.GivenUp("a", wire));
-        heard("invite a 1", "withdraw a");
+        heard("invite a 1", "given up", "withdraw a");
         play(new Event.Answered(1, "a", DESCRIPTION));
         heard("release a 16");
     }
@@ -217,8 +222,8 @@
                     false, false, false), wire));
             play(new Event.GivenUp(id, wire));
             pass(1);
+            heard("given up");
         }
-        heard();
         offer("a");
         heard("invite a 1");
     }
