Be ready without exchanges that have nothing to tell, and back off from those that hang up

With the links that were not settled logged: 10.644 dbg - unsettled 37@/127.11.0.12:3868 READY open 1 connecting false 40@... 41@... 42@... An exchange that replaces another takes connections and tells no state while the one it replaces drains; Link.settled waited for that state, until the 2 s after which the start waits no longer. Ruled out: connects that time out (open is 1), the directory. Seen beside it: an exchange that accepts and closes at once was connected to 12,224 times in 3 s (a stand-in on the loopback, one softswitch), since Link.ended connects without a wait and a connect that came up reset the backoff.

A link is settled too where nothing has come for three times as long as the connect took, 50 ms at least: the state is the first thing to come on a connection, so one round trip tells. The backoff is reset by the first message on a connection, and one that ends unheard waits for it.

--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -39,6 +39,9 @@
 final class Link implements MessageHandler.Owner<SipMessage> {
     private static final Logger LOG = LoggerFactory.getLogger("connection");
     private static final int MOST_CONNECTIONS = 4;
+    /** A connect takes one round trip; what is said first on a connection should come in as much. */
+    private static final int SILENCES = 3;
+    private static final long LEAST_SILENCE = 50_000;
     private static final int MOST_WAITING = 256;
     private static final int MOST_RELEASES = 4_096;
 
@@ -58,16 +61,22 @@
     private boolean closed;
     private boolean tried;
     private boolean told;
+    private long connectingSince;
+    /** Microseconds that the last connection took to come up. */
+    private long tookToConnect;
     private final Backoff backoff;
     private long branches;
 
     /** What is known of one connection. */
     private static final class Open {
         final Map<String, Attempt> setUps = new LinkedHashMap<>();
+        final long upAt;
         long heardAt;
+        boolean heard;
         boolean silent;
 
         Open(long now) {
+            upAt = now;
             heardAt = now;
         }
     }
@@ -95,8 +104,15 @@
         }
     }
 
+    /**
+     * Whether it is known what there is to know of the exchange at a start: it has told its group's state, could not be
+     * reached, or has said nothing on a connection for three times as long as that took to come up, though the state is
+     * the first thing to come on one. Guards the start against an exchange that takes connections and has no state to
+     * tell yet: in a fleet there is always one, and every softswitch that started waited for it.
+     */
     boolean settled() {
-        return told || tried;
+        return told || tried || open.values().stream()
+                .anyMatch(o -> loop.now() - o.upAt >= Math.max(LEAST_SILENCE, SILENCES * tookToConnect));
     }
 
     void close(CloseReason reason) {
@@ -220,6 +236,8 @@
             return;
         }
         connecting = true;
+        connectingSince = loop.now();
+        metrics.count("sent.connects");
         new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000))
@@ -254,7 +272,7 @@
             f.channel().close();
             return;
         }
-        backoff.reset();
+        tookToConnect = loop.now() - connectingSince;
         for (Map.Entry<Channel, Open> old : List.copyOf(open.entrySet())) {
             if (old.getValue().silent) {
                 MessageHandler.close(old.getKey(), CloseReason.SILENT);
@@ -308,8 +326,15 @@
         for (Attempt attempt : new ArrayList<>(connection.setUps.values())) {
             events.accept(new Event.Broken(attempt, Status.RESET));
         }
-        if (open.isEmpty()) {
+        if (!open.isEmpty()) {
+            return;
+        }
+        if (connection.heard) {
             connect();
+        } else {
+            // Guards against an exchange that takes connections and closes them unheard, as one that holds as many as
+            // it can does: all softswitches would connect again and again without a pause.
+            retryLater();
         }
     }
 
@@ -323,6 +348,10 @@
         }
         connection.heardAt = loop.now();
         connection.silent = false;
+        if (!connection.heard) {
+            connection.heard = true;
+            backoff.reset();
+        }
         if (!message.isRequest()) {
             response(channel, connection, message);
             return;
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -1,6 +1,7 @@
 package wingspread.link;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -10,6 +11,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -35,10 +37,19 @@
     private final AtomicLong clock = new AtomicLong(1_000_000_000);
     private final Loop loop = new Loop(clock::get);
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
-    private final Links links = new Links(loop, 500_000, 0, ReconnectFigures.OFF, new SplittableRandom(1),
-            events::add, new Metrics());
+    private final Metrics metrics = new Metrics();
+    private Links links = links(ReconnectFigures.OFF);
     private ServerSocket listener;
 
+    private Links links(ReconnectFigures figures) {
+        return new Links(loop, 500_000, 0, figures, new SplittableRandom(1), events::add, metrics);
+    }
+
+    /** What the loop finds after all that it was handed before. */
+    private <T> T inLoop(Callable<T> question) throws Exception {
+        return loop.group().submit(question).get(10, TimeUnit.SECONDS);
+    }
+
     @BeforeEach
     void listen() throws IOException {
         listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
@@ -133,6 +144,32 @@
         }
     }
 
+    @Test
+    void anExchangeThatClosesUnheardIsNotConnectedToAgainAtOnce() throws Exception {
+        accept().close();
+        long hour = 3_600_000_000L;
+        links = links(new ReconnectFigures(1, 1, 5, 50, hour, hour, 0));
+        list(Readiness.READY);
+        Wire<SipMessage> connection = accept();
+        Attempt attempt = invite("a");
+        assertEquals("a", connection.next().callId());
+        long before = inLoop(() -> metrics.value("sent.connects"));
+        connection.reset();
+        assertEquals(new Event.Broken(attempt, Status.RESET), event());
+        assertEquals(before, inLoop(() -> metrics.value("sent.connects")));
+    }
+
+    @Test
+    void theStartDoesNotWaitForAnExchangeThatTakesAConnectionAndTellsNothing() throws Exception {
+        try (Wire<SipMessage> connection = accept()) {
+            invite("a");
+            assertEquals("a", connection.next().callId());
+            assertFalse(inLoop(links::settled));
+            clock.addAndGet(60_000);
+            assertTrue(inLoop(links::settled));
+        }
+    }
+
     @Test
     void anExchangeThatHasGoneIsLeft() throws Exception {
         try (Wire<SipMessage> connection = accept()) {
