Take lists of exchanges that come in part, and let nothing go that an answer lacks by being cut

Hundreds of exchanges do not fit the 8,000 bytes of an answer: 96 bytes or so each.

Change. directory.Roster, free of I/O, holds the list and reads answers: a cut one adds and changes and removes nothing, its serial number counts as not seen; a record without address or facts leaves a known exchange as it was and a new one out, until both are learnt. Directory asks for the whole list over TCP after a cut one, and for A and TXT of such hosts one by one. What is wrong is logged once with a reason code (TRUNCATED, LACKING, BAD_INPUT, REFUSED, SILENT), and once that it is over.

--- a/src/main/java/wingspread/directory/Directory.java
+++ b/src/main/java/wingspread/directory/Directory.java
@@ -1,128 +1,80 @@
 package wingspread.directory;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import java.net.InetAddress;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wingspread.config.NodeConfig;
-import wingspread.control.CallControl.Exchange;
 import wingspread.control.CallControl.ListKind;
-import wingspread.control.CallControl.Readiness;
 import wingspread.net.BadInput;
 import wingspread.net.DatagramHandler;
 import wingspread.net.Loop;
 
 /**
- * The list of exchanges: that of the start, then what the directory says when it is asked. Exchanges are told
- * apart by their uid, since an address may pass from one to the next; each uid has a number of ours.
+ * Asks the directory for the list of exchanges, and tells what changes. An answer that is cut short is asked for again
+ * over TCP (RFC 7766); hosts that an answer names without their address are asked for one by one. What is wrong with
+ * the answers is logged once with a reason code, and once that it is over.
  */
 public final class Directory {
     private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
     private static final String SERVICE = "_back._tcp.pool.lan";
     /** Asked so often that a lost datagram is made up for well within the time in which news counts as told. */
     private static final long ASK_EVERY = 300_000;
-    private static final int LONGEST_ANSWER = 9_000;
+    /** The longest message there can be, over UDP and over TCP. */
+    private static final int LONGEST_ANSWER = 65_535;
     /** Questions whose answers are still taken. */
     private static final int QUESTIONS = 8;
+    /** Hosts asked for with one question for the list, two questions each; the others' turn comes with the next. */
+    private static final int MOST_HOSTS = 32;
+    private static final int TCP_MS = 500;
 
     private final Loop loop;
-    private final List<String> zones;
-    private final List<String> kinds;
+    private final Roster roster;
     private final BiConsumer<ListKind, List<Listing>> told;
     private final SplittableRandom random;
-    private final Map<String, Long> numbers = new HashMap<>();
-    private final Map<String, Listing> present = new LinkedHashMap<>();
-    private long lastNumber;
-    private long serial;
     /** Where the directory is asked; null before the first. */
     private Channel server;
     private final ArrayDeque<Integer> asked = new ArrayDeque<>();
+    /** Questions about one host each, oldest first. */
+    private final Map<Integer, String> askedHosts = new LinkedHashMap<>();
+    private boolean overTcp;
+    private int unanswered;
+    /** What is wrong with the answers now; empty for nothing. */
+    private String fault = "";
 
     public Directory(Loop loop, List<String> zones, List<String> kinds, long seed,
             BiConsumer<ListKind, List<Listing>> told) {
         this.loop = loop;
-        this.zones = zones;
-        this.kinds = kinds;
+        this.roster = new Roster(zones, kinds);
         this.told = told;
         this.random = new SplittableRandom(seed);
     }
 
     /** Takes the events of the start, as the configuration keeps them. */
     public void known(Map<?, ?> known) {
-        if (known.get("notices") instanceof List<?> notices) {
-            for (Object notice : notices) {
-                if (notice instanceof Map<?, ?> map && map.get("pool") instanceof Map<?, ?> pool) {
-                    apply(pool);
-                }
-            }
-        }
-        if (known.get("rev") instanceof Double rev) {
-            serial = rev.longValue();
-        }
-        told.accept(ListKind.CACHED, List.copyOf(present.values()));
-    }
-
-    private void apply(Map<?, ?> pool) {
-        if (Boolean.TRUE.equals(pool.get("all"))) {
-            present.clear();
-        }
-        if (pool.get("targets") instanceof List<?> targets) {
-            for (Object target : targets) {
-                if (target instanceof Map<?, ?> map) {
-                    note(fromJson(map));
-                }
-            }
-        }
-    }
-
-    /** Guards against exchanges that are replaced for ever: nothing is kept of a uid that has gone. */
-    private void note(Listing listing) {
-        if (listing.exchange().readiness() == Readiness.GONE) {
-            present.remove(listing.uid());
-            numbers.remove(listing.uid());
-        } else {
-            present.put(listing.uid(), listing);
-        }
-    }
-
-    private Listing fromJson(Map<?, ?> map) {
-        Readiness readiness = switch (String.valueOf(map.get("state"))) {
-            case "up" -> Readiness.READY;
-            case "draining" -> Readiness.DRAINING;
-            default -> Readiness.GONE;
-        };
-        return listing(String.valueOf(map.get("uid")).toLowerCase(Locale.ROOT),
-                NodeConfig.address(String.valueOf(map.get("endpoint")), "known.endpoint"),
-                String.valueOf(map.get("az")), String.valueOf(map.get("model")), number(map.get("pod_group")),
-                readiness, number(map.get("capacity_hint")), (long) number(map.get("boot_ms")));
-    }
-
-    private static double number(Object value) {
-        return value instanceof Double d ? d : 0;
-    }
-
-    private Listing listing(String uid, InetSocketAddress endpoint, String zone, String kind, double cell,
-            Readiness readiness, double weight, long startedMs) {
-        long number = numbers.computeIfAbsent(uid, u -> ++lastNumber);
-        return new Listing(uid, endpoint, new Exchange(number, Math.max(0, zones.indexOf(zone)),
-                Math.max(0, kinds.indexOf(kind)), (int) cell, readiness, weight, startedMs * 1_000));
+        roster.known(known);
+        told.accept(ListKind.CACHED, roster.present());
     }
 
     /**
@@ -132,8 +84,7 @@
     public void follow(InetSocketAddress address) {
         new Bootstrap().group(loop.group()).channel(NioDatagramChannel.class)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LONGEST_ANSWER))
-                .handler(new DatagramHandler("directory",
-                        (ctx, bytes, sender) -> answer(DnsMessage.parse(bytes))))
+                .handler(new DatagramHandler("directory", (ctx, bytes, sender) -> heard(bytes)))
                 .connect(address)
                 .addListener((ChannelFuture f) -> {
                     if (f.isSuccess()) {
@@ -154,9 +105,12 @@
         if (channel != server) {
             return;
         }
+        if (++unanswered > QUESTIONS) {
+            fault("SILENT", "no answer to " + QUESTIONS + " questions");
+        }
         int id = random.nextInt(1 << 16);
         expect(id);
-        channel.writeAndFlush(Unpooled.wrappedBuffer(DnsMessage.query(id, SERVICE)));
+        channel.writeAndFlush(Unpooled.wrappedBuffer(DnsMessage.query(id, SERVICE, DnsMessage.SRV)));
         loop.at(loop.now() + ASK_EVERY, () -> ask(channel));
     }
 
@@ -168,85 +122,121 @@
         }
     }
 
-    /** Takes an answer: what is not in the whole list has gone. */
+    private void heard(byte[] bytes) throws BadInput {
+        try {
+            answer(DnsMessage.parse(bytes));
+        } catch (BadInput e) {
+            fault("BAD_INPUT", e.getMessage());
+        }
+    }
+
+    /** Takes an answer: what is not in the whole list has gone, what is not in a part of it has not. */
     void answer(DnsMessage message) throws BadInput {
-        long newSerial = message.records().stream().filter(DnsMessage.Soa.class::isInstance)
-                .mapToLong(r -> ((DnsMessage.Soa) r).serial()).max().orElse(-1);
-        // Guards against an answer that was overtaken by a later one, or is for no question of ours. One that
-        // comes after the next question is taken all the same: a slow directory would never be heard otherwise.
-        if (!asked.contains(message.id()) || message.code() != 0 || newSerial <= serial) {
+        String host = askedHosts.remove(message.id());
+        if (host != null) {
+            roster.learn(host, message);
+            if (message.question() == DnsMessage.TXT && message.code() == 0) {
+                roster.learnNoFacts(host);
+            }
             return;
         }
-        Map<String, Listing> now = list(message);
-        List<Listing> changes = new ArrayList<>();
-        for (Listing old : present.values()) {
-            if (!now.containsKey(old.uid())) {
-                Exchange e = old.exchange();
-                changes.add(new Listing(old.uid(), old.endpoint(), new Exchange(e.address(), e.zone(), e.kind(),
-                        e.place(), Readiness.GONE, e.weight(), e.upSince())));
-            }
+        // An answer that comes after the next question is taken all the same: a slow directory would never be heard.
+        if (!asked.contains(message.id())) {
+            return;
         }
-        for (Listing listing : now.values()) {
-            if (!listing.equals(present.get(listing.uid()))) {
-                changes.add(listing);
-            }
+        unanswered = 0;
+        if (message.code() != 0) {
+            fault("REFUSED", "response code " + message.code());
+            return;
         }
-        serial = newSerial;
-        for (Listing change : changes) {
-            note(change);
-            LOG.info("directory {}: {} at {} is {}, started {}", serial, change.uid(), change.endpoint(),
+        Roster.Reading reading = roster.read(message);
+        for (Listing change : reading.changes()) {
+            LOG.info("directory {}: {} at {} is {}, started {}", roster.serial(), change.uid(), change.endpoint(),
                     change.exchange().readiness(), change.exchange().upSince());
         }
-        if (!changes.isEmpty()) {
-            told.accept(ListKind.DELTA, changes);
+        if (!reading.changes().isEmpty()) {
+            told.accept(ListKind.DELTA, reading.changes());
+        }
+        if (message.truncated()) {
+            fault("TRUNCATED", message.records().size() + " records; what they lack is taken to be as it was");
+            askWhole();
+        } else if (!reading.lacking().isEmpty()) {
+            fault("LACKING", reading.lacking().size() + " hosts without address or facts, as "
+                    + reading.lacking().iterator().next());
+            reading.lacking().stream().limit(MOST_HOSTS).forEach(this::askHost);
+        } else {
+            fault("", "");
         }
     }
 
-    private Map<String, Listing> list(DnsMessage message) throws BadInput {
-        Map<String, byte[]> addresses = new HashMap<>();
-        Map<String, Map<String, String>> facts = new HashMap<>();
-        for (DnsMessage.Record record : message.records()) {
-            if (record instanceof DnsMessage.Address a) {
-                addresses.put(a.name(), a.bytes());
-            } else if (record instanceof DnsMessage.Text t) {
-                Map<String, String> of = facts.computeIfAbsent(t.name(), n -> new HashMap<>());
-                for (String text : t.texts()) {
-                    int eq = text.indexOf('=');
-                    of.put(eq < 0 ? text : text.substring(0, eq), text.substring(eq + 1));
-                }
+    /** Logs what is wrong when that changes. */
+    private void fault(String code, String what) {
+        if (!fault.equals(code)) {
+            fault = code;
+            if (code.isEmpty()) {
+                LOG.info("the directory answers in good order again");
+            } else {
+                LOG.warn("directory {}: the answers are {} ({}); the last list stays", roster.serial(), code, what);
             }
         }
-        Map<String, Listing> out = new LinkedHashMap<>();
-        for (DnsMessage.Record record : message.records()) {
-            if (record instanceof DnsMessage.Srv srv) {
-                byte[] address = addresses.get(srv.target());
-                if (address == null) {
-                    throw new BadInput("DNS: no address for " + srv.target());
-                }
-                String[] labels = srv.target().split("\\.");
-                Map<String, String> of = facts.getOrDefault(srv.target(), Map.of());
-                out.put(labels[0], listing(labels[0], endpoint(address, srv.port()),
-                        labels.length > 1 ? labels[1] : "", of.getOrDefault("kind", ""),
-                        fact(of, "cell"), srv.priority() == 0 ? Readiness.READY : Readiness.DRAINING,
-                        srv.weight() / 10.0, fact(of, "started")));
+    }
+
+    private void askHost(String host) {
+        for (int type : new int[] {DnsMessage.A, DnsMessage.TXT}) {
+            int id = random.nextInt(1 << 16);
+            askedHosts.put(id, host);
+            if (askedHosts.size() > 2 * MOST_HOSTS) {
+                askedHosts.remove(askedHosts.keySet().iterator().next());
+            }
+            if (server != null) {
+                server.writeAndFlush(Unpooled.wrappedBuffer(DnsMessage.query(id, host, type)));
             }
         }
-        return out;
     }
 
-    private static long fact(Map<String, String> facts, String name) throws BadInput {
-        try {
-            return Long.parseLong(facts.getOrDefault(name, "0"));
-        } catch (NumberFormatException e) {
-            throw new BadInput("DNS: " + name + " is no number");
+    /** Asks for the whole list over TCP, once at a time. */
+    private void askWhole() {
+        if (overTcp || server == null) {
+            return;
         }
+        overTcp = true;
+        new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, TCP_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(LONGEST_ANSWER, 0, 2, 0, 2),
+                                new LengthFieldPrepender(2), new Whole());
+                    }
+                })
+                .connect(server.remoteAddress())
+                .addListener((ChannelFuture f) -> {
+                    if (f.isSuccess()) {
+                        f.channel().closeFuture().addListener(closed -> overTcp = false);
+                        loop.at(loop.now() + 2 * ASK_EVERY, f.channel()::close);
+                        int id = random.nextInt(1 << 16);
+                        expect(id);
+                        f.channel().writeAndFlush(Unpooled.wrappedBuffer(
+                                        DnsMessage.query(id, SERVICE, DnsMessage.SRV)))
+                                .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+                    } else {
+                        overTcp = false;
+                    }
+                });
     }
 
-    private static InetSocketAddress endpoint(byte[] address, int port) throws BadInput {
-        try {
-            return new InetSocketAddress(InetAddress.getByAddress(address), port);
-        } catch (UnknownHostException e) {
-            throw new BadInput("DNS: an address of a wrong length");
+    /** Reads the one answer of a connection. */
+    private final class Whole extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf answer) throws BadInput {
+            heard(ByteBufUtil.getBytes(answer));
+            ctx.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            fault("BAD_INPUT", cause.toString());
+            ctx.close();
         }
     }
 }
--- a/src/main/java/wingspread/directory/DnsMessage.java
+++ b/src/main/java/wingspread/directory/DnsMessage.java
@@ -9,11 +9,11 @@
 import wingspread.net.BadInput;
 
 /** The part of DNS (RFC 1035, RFC 2782) that the directory speaks: one question, and records of five types. */
-public record DnsMessage(int id, int code, List<DnsMessage.Record> records) {
-    private static final int A = 1;
+public record DnsMessage(int id, int code, boolean truncated, int question, List<DnsMessage.Record> records) {
+    static final int A = 1;
     private static final int SOA = 6;
-    private static final int TXT = 16;
-    private static final int SRV = 33;
+    static final int TXT = 16;
+    static final int SRV = 33;
     private static final int CLASS_IN = 1;
     private static final int RESPONSE = 0x8000;
     private static final int TRUNCATED = 0x0200;
@@ -35,8 +35,8 @@
     /** The authority's serial number. */
     public record Soa(long serial) implements Record { }
 
-    /** A query for the SRV records of a name. */
-    public static byte[] query(int id, String name) {
+    /** A query for the records of a type under a name. */
+    public static byte[] query(int id, String name, int type) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         byte[] head = ByteBuffer.allocate(12).putShort((short) id).putShort((short) 0).putShort((short) 1).array();
         out.writeBytes(head);
@@ -44,14 +44,14 @@
             out.write(label.length());
             out.writeBytes(label.getBytes(StandardCharsets.US_ASCII));
         }
-        out.writeBytes(new byte[] {0, 0, SRV, 0, CLASS_IN});
+        out.writeBytes(new byte[] {0, 0, (byte) type, 0, CLASS_IN});
         return out.toByteArray();
     }
 
     /**
-     * Reads an answer.
+     * Reads an answer. One that is marked as truncated holds the records that are there whole.
      *
-     * @throws BadInput where it is cut short, marked as truncated or malformed
+     * @throws BadInput where it is malformed, or cut short without being marked so
      */
     public static DnsMessage parse(byte[] bytes) throws BadInput {
         Reader in = new Reader(bytes);
@@ -60,21 +60,20 @@
         if ((flags & RESPONSE) == 0) {
             throw new BadInput("DNS: no response");
         }
-        // Guards against half a list, which would read as exchanges that have gone.
-        if ((flags & TRUNCATED) != 0) {
-            throw new BadInput("DNS: a truncated answer");
-        }
+        boolean truncated = (flags & TRUNCATED) != 0;
         int questions = in.u16();
         int count = in.u16() + in.u16() + in.u16();
+        int question = 0;
         for (int i = 0; i < questions; i++) {
             in.name();
-            in.skip(4);
+            question = in.u16();
+            in.skip(2);
         }
         List<Record> records = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < count && !(truncated && in.ended()); i++) {
             in.record(records);
         }
-        return new DnsMessage(id, flags & 15, List.copyOf(records));
+        return new DnsMessage(id, flags & 15, truncated, question, List.copyOf(records));
     }
 
     /** Walks over a message's bytes. */
@@ -86,6 +85,10 @@
             this.bytes = bytes;
         }
 
+        boolean ended() {
+            return at == bytes.length;
+        }
+
         int u8() throws BadInput {
             if (at >= bytes.length) {
                 throw new BadInput("DNS: the message ends early");
