Let callers and links to exchanges share one budget of descriptors

Links kept a connection to every exchange, up to four, with no bound over all, and callers had 0.6 of the limit beside that (Softswitch.CALLERS_SHARE, Link.MOST_CONNECTIONS): 300 exchanges and 0.6 of 512 descriptors do not fit.

Change. net.Descriptors, a pure sum: 64 are kept, a third of the limit is always the callers', of the rest each side takes what the other leaves. A link asks Links.enters before it connects. Where there is no room, one that has something to send takes the place of the idle link that was used longest ago; that one, closed as MADE_ROOM, does not come back by itself. Where none is idle the set-up ends as not connected, at once and counted; a release waits.

--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -24,6 +24,7 @@
 import wingspread.directory.Listing;
 import wingspread.front.jsonl.JsonlFront;
 import wingspread.link.Links;
+import wingspread.net.Descriptors;
 import wingspread.net.Loop;
 import wingspread.metrics.Metrics;
 import wingspread.net.Signals;
@@ -35,8 +36,6 @@
 /** One real softswitch: a planner, the forwarders round it, its start and its end. */
 final class Softswitch {
     private static final Logger LOG = LoggerFactory.getLogger(Softswitch.class);
-    /** Callers may hold a third of the descriptors; what is let in beyond that is for those who hold them idly. */
-    private static final double CALLERS_SHARE = 0.6;
     private static final int MOST_CALLS = 4_096;
     /** After the start, exchanges that say nothing are waited for so long at the most. */
     private static final long READY_AT_LATEST = 2_000_000;
@@ -69,13 +68,15 @@
         this.startedAt = loop.now();
         SettingsParser.Parsed settings = config.settings();
         ReconnectFigures reconnects = storm == null ? ReconnectFigures.OFF : storm.reconnects();
-        this.links = new Links(loop, settings.connectTimeout(), settings.settings().ownPlace(), reconnects,
+        Descriptors descriptors = new Descriptors(config.sockets());
+        this.links = new Links(loop, settings.connectTimeout(), settings.settings().ownPlace(),
+                () -> descriptors.forExchanges(frontConnections()), reconnects,
                 new SplittableRandom(config.seed() + 1), this::post, metrics);
         this.planner = new Planner(loop::now, settings.settings(), Figures.USUAL, config.seed(), MOST_CALLS, links,
                 this::strangerOver, metrics, storm == null ? null : storm.storm());
         this.directory = new Directory(loop, settings.zones(), settings.kinds(), config.seed(), this::told);
         this.front = new JsonlFront(loop, settings.settings().classes(),
-                (int) (config.sockets() * CALLERS_SHARE), this::post, this::ready, reconnects, metrics);
+                () -> descriptors.forCallers(links.open()), this::post, this::ready, reconnects, metrics);
         this.sip = Optional.ofNullable(sipConfig).map(c -> new SipService(loop, c, settings.settings().classes(),
                 config.seed(), reconnects, this::post, metrics));
         this.recorder = record == null ? null : record.start(startedAt, settings.settings().ownPlace(),
@@ -89,7 +90,7 @@
 
     /** Starts to serve; returns at once. */
     void start() throws ReflectiveOperationException {
-        // Before the listener stands: a signal that finds no handler ends the program with what was taken.
+        // Before the listener stands: SIGTERM must find what ends in good order as soon as something may be taken.
         Signals.on("TERM", () -> loop.execute(this::end));
         Signals.on("INT", () -> loop.execute(this::end));
         Signals.on("HUP", this::reload);
@@ -131,6 +132,10 @@
         planner.post(event);
     }
 
+    private int frontConnections() {
+        return front.connections();
+    }
+
     private void strangerOver(String call, int cause) {
         front.over(call, cause);
     }
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import wingspread.control.CallControl.CallClass;
 import wingspread.core.Caller;
 import wingspread.core.Event;
@@ -62,7 +63,7 @@
     /** The connection that the last call came on; null before the first. */
     private Channel lastHeard;
 
-    public JsonlFront(Loop loop, List<CallClass> classes, int mostConnections, Consumer<Event> planner,
+    public JsonlFront(Loop loop, List<CallClass> classes, IntSupplier mostConnections, Consumer<Event> planner,
             BooleanSupplier ready, ReconnectFigures reconnects, Metrics metrics) {
         this.reconnects = reconnects;
         this.loop = loop;
--- a/src/main/java/wingspread/front/sip/SipListener.java
+++ b/src/main/java/wingspread/front/sip/SipListener.java
@@ -56,7 +56,7 @@
         this.reconnects = reconnects;
         this.metrics = metrics;
         this.front = front;
-        this.admission = new Admission(loop, MOST_CONNECTIONS, Timers.PURSUED,
+        this.admission = new Admission(loop, () -> MOST_CONNECTIONS, Timers.PURSUED,
                 channel -> !front.carries(streams.get(channel)));
     }
 
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -48,6 +48,7 @@
     private final Loop loop;
     private final long number;
     private final long connectTimeout;
+    private final Links all;
     private final Consumer<Event> events;
     private final Metrics metrics;
     private InetSocketAddress endpoint;
@@ -61,6 +62,7 @@
     private boolean closed;
     private boolean tried;
     private boolean told;
+    private long usedAt;
     private long connectingSince;
     /** Microseconds that the last connection took to come up. */
     private long tookToConnect;
@@ -82,7 +84,8 @@
     }
 
     Link(Loop loop, long number, InetSocketAddress endpoint, long connectTimeout, Backoff backoff,
-            Consumer<Event> events, Metrics metrics) {
+            Links all, Consumer<Event> events, Metrics metrics) {
+        this.all = all;
         this.loop = loop;
         this.number = number;
         this.endpoint = endpoint;
@@ -121,6 +124,22 @@
         List.copyOf(open.keySet()).forEach(channel -> MessageHandler.close(channel, reason));
     }
 
+    /** Whether it holds connections, no set-up is under way on any, and nothing is to go out or there in part. */
+    boolean idle() {
+        return !open.isEmpty() && waiting.isEmpty() && open.entrySet().stream()
+                .allMatch(e -> e.getValue().setUps.isEmpty() && !MessageHandler.busy(e.getKey()));
+    }
+
+    /** When a set-up was last sent; 0 for never. */
+    long usedAt() {
+        return usedAt;
+    }
+
+    /** Leaves its connections to other links until something is to be sent. */
+    void makeRoom() {
+        List.copyOf(open.keySet()).forEach(channel -> MessageHandler.close(channel, CloseReason.MADE_ROOM));
+    }
+
     void closeIdle() {
         open.entrySet().stream().filter(e -> e.getValue().setUps.isEmpty()).skip(1).map(Map.Entry::getKey).toList()
                 .forEach(channel -> MessageHandler.close(channel, CloseReason.SILENT));
@@ -142,6 +161,7 @@
 
     private void send(Channel channel, Attempt attempt) {
         open.get(channel).setUps.put(attempt.request().id(), attempt);
+        usedAt = loop.now();
         long left = (attempt.deadline() - loop.now()) / 1_000;
         metrics.count("sent.INVITE");
         write(channel, request("INVITE", attempt).with("X-Tier", attempt.request().className())
@@ -235,6 +255,14 @@
         if (connecting || closed || open.size() >= MOST_CONNECTIONS) {
             return;
         }
+        if (!all.enters(!waiting.isEmpty() || !unsentReleases.isEmpty())) {
+            tried = true;
+            failWaiting();
+            if (!unsentReleases.isEmpty()) {
+                retryLater();
+            }
+            return;
+        }
         connecting = true;
         connectingSince = loop.now();
         metrics.count("sent.connects");
@@ -255,6 +283,7 @@
     private void connected(ChannelFuture f) {
         connecting = false;
         if (!f.isSuccess()) {
+            all.left();
             tried = true;
             CloseReason reason = f.cause() instanceof ConnectTimeoutException ? CloseReason.CONNECT_TIMEOUT
                     : f.cause() instanceof ConnectException ? CloseReason.REFUSED : CloseReason.RESET;
@@ -269,6 +298,7 @@
             return;
         }
         if (closed) {
+            all.left();
             f.channel().close();
             return;
         }
@@ -323,10 +353,11 @@
         if (connection == null) {
             return;
         }
+        all.left();
         for (Attempt attempt : new ArrayList<>(connection.setUps.values())) {
             events.accept(new Event.Broken(attempt, Status.RESET));
         }
-        if (!open.isEmpty()) {
+        if (!open.isEmpty() || reason == CloseReason.MADE_ROOM) {
             return;
         }
         if (connection.heard) {
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -1,10 +1,14 @@
 package wingspread.link;
 
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import wingspread.control.CallControl.Readiness;
 import wingspread.control.CallControl.Status;
 import wingspread.core.Attempt;
@@ -18,6 +22,8 @@
 
 /** The connections to all exchanges, by the number that the directory gave each. */
 public final class Links implements Exchanges {
+    private static final Logger LOG = LoggerFactory.getLogger("connection");
+
     private final Loop loop;
     private final Consumer<Event> planner;
     private final Metrics metrics;
@@ -26,10 +32,18 @@
     private final ReconnectFigures reconnects;
     private final RandomGenerator random;
     private final Map<Long, Link> links = new LinkedHashMap<>();
+    private final IntSupplier most;
+    private int open;
+    private boolean full;
 
-    /** Links that wait before they connect again as these figures say, with this randomness. */
-    public Links(Loop loop, long connectTimeout, int ownPlace, ReconnectFigures reconnects, RandomGenerator random,
-            Consumer<Event> planner, Metrics metrics) {
+    /**
+     * Links that wait before they connect again as these figures say, with this randomness.
+     *
+     * @param most connections that may be open or coming up, of all links together
+     */
+    public Links(Loop loop, long connectTimeout, int ownPlace, IntSupplier most, ReconnectFigures reconnects,
+            RandomGenerator random, Consumer<Event> planner, Metrics metrics) {
+        this.most = most;
         this.reconnects = reconnects;
         this.random = random;
         this.loop = loop;
@@ -50,7 +64,7 @@
             boolean gone = listing.exchange().readiness() == Readiness.GONE;
             if (link == null && !gone) {
                 link = new Link(loop, number, listing.endpoint(), connectTimeout,
-                        reconnects.backoff(random), this::post, metrics);
+                        reconnects.backoff(random), this, this::post, metrics);
                 links.put(number, link);
             }
             if (link != null && gone) {
@@ -62,6 +76,40 @@
         }
     }
 
+    /** Connections that are open or coming up. */
+    public int open() {
+        return open;
+    }
+
+    /**
+     * Whether a link may open a connection, which is counted until {@link #left}. Where there is no room and a set-up
+     * or a release wants it, the idle link that was used longest ago leaves its place; that one connects again when
+     * something is to be sent on it. Guards the limit of descriptors in a fleet of more exchanges than it allows.
+     */
+    boolean enters(boolean wanted) {
+        if (open >= most.getAsInt()) {
+            Link idle = wanted ? links.values().stream().filter(Link::idle)
+                    .min(Comparator.comparingLong(Link::usedAt)).orElse(null) : null;
+            if (!full) {
+                full = true;
+                LOG.warn("{}: {} connections to exchanges are open and no more may be; they are shared from now on",
+                        CloseReason.TOO_MANY, open);
+            }
+            if (idle == null) {
+                metrics.count("sent.connects-without-room");
+                return false;
+            }
+            idle.makeRoom();
+        }
+        open++;
+        return true;
+    }
+
+    /** A connection that entered has ended or did not come up. */
+    void left() {
+        open--;
+    }
+
     private void post(Event event) {
         planner.accept(event);
         loop.wantTurn();
--- a/src/main/java/wingspread/net/Admission.java
+++ b/src/main/java/wingspread/net/Admission.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.Predicate;
 
 /**
@@ -14,7 +15,7 @@
  */
 public final class Admission {
     private final Loop loop;
-    private final int most;
+    private final IntSupplier most;
     private final long longestMute;
     private final Predicate<Channel> idle;
     /** Connections without a whole message yet, oldest first, and when each is closed. */
@@ -26,11 +27,11 @@
     /**
      * Starts with no connection.
      *
-     * @param most connections at a time
+     * @param most connections at a time; it may fall below what is open, which then makes room one by one
      * @param longestMute microseconds from the opening of a connection to its first whole message
      * @param idle whether a connection carries nothing and may be closed
      */
-    public Admission(Loop loop, int most, long longestMute, Predicate<Channel> idle) {
+    public Admission(Loop loop, IntSupplier most, long longestMute, Predicate<Channel> idle) {
         this.loop = loop;
         this.most = most;
         this.longestMute = longestMute;
@@ -39,7 +40,7 @@
 
     /** A connection has come up; where there is no room for it, none can be made and it is closed. */
     public void opened(Channel channel) {
-        boolean room = mute.size() + heard.size() < most || makeRoom();
+        boolean room = mute.size() + heard.size() < most.getAsInt() || makeRoom();
         mute.put(channel, loop.now() + longestMute);
         if (!room) {
             loop.execute(() -> MessageHandler.close(channel, CloseReason.TOO_MANY));
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -38,11 +39,12 @@
     private final Loop loop = new Loop(clock::get);
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final Metrics metrics = new Metrics();
+    private volatile int most = 100;
     private Links links = links(ReconnectFigures.OFF);
     private ServerSocket listener;
 
     private Links links(ReconnectFigures figures) {
-        return new Links(loop, 500_000, 0, figures, new SplittableRandom(1), events::add, metrics);
+        return new Links(loop, 500_000, 0, () -> most, figures, new SplittableRandom(1), events::add, metrics);
     }
 
     /** What the loop finds after all that it was handed before. */
@@ -170,6 +172,45 @@
         }
     }
 
+    @Test
+    void withoutRoomTheIdleLinkThatWasUsedLongestAgoLeavesItsPlaceAndComesBackWhenWanted() throws Exception {
+        Wire<SipMessage> first = accept();
+        invite("a");
+        first.send(response(first.next()));
+        assertTrue(event() instanceof Event.Rejected);
+        assertEquals("ACK", first.next().method());
+        most = 1;
+        try (ServerSocket other = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            other.setSoTimeout(10_000);
+            InetSocketAddress at = (InetSocketAddress) other.getLocalSocketAddress();
+            Exchange exchange = new Exchange(2, 0, 0, 2, Readiness.READY, 1, 0);
+            loop.execute(() -> links.update(List.of(new Listing("s-2", at, exchange))));
+            // Of itself it does not come up; it counts as settled, and a set-up makes the other one leave.
+            assertEquals(1, inLoop(links::open));
+            Attempt attempt = AttemptFixture.attempt("b", 2, clock.get(), clock.get() + 1_500_000);
+            loop.execute(() -> links.invite(attempt));
+            try (Wire<SipMessage> second = new Wire<>(other.accept(), new SipDecoder())) {
+                assertEquals("b", second.next().callId());
+                assertTrue(first.closed());
+                assertEquals(1, inLoop(links::open));
+                // While a set-up is out there, nobody leaves: the next one is told so at once.
+                Attempt without = invite("c");
+                assertEquals(new Event.Broken(without, Status.CONNECT_FAILED), event());
+                second.send(response(SipMessage.request("INVITE", "sip:x@net").with("Call-ID", "b")));
+                assertTrue(event() instanceof Event.Rejected);
+                assertEquals("ACK", second.next().method());
+                invite("d");
+                try (Wire<SipMessage> back = accept()) {
+                    assertEquals("d", back.next().callId());
+                }
+            }
+        }
+    }
+
+    private static ByteBuf response(SipMessage invite) {
+        return SipMessage.response(503, "x").with("Call-ID", invite.callId()).with("CSeq", "1 INVITE").encode();
+    }
+
     @Test
     void anExchangeThatHasGoneIsLeft() throws Exception {
         try (Wire<SipMessage> connection = accept()) {
--- a/src/test/java/wingspread/net/AdmissionTest.java
+++ b/src/test/java/wingspread/net/AdmissionTest.java
@@ -19,7 +19,7 @@
     private final AtomicLong clock = new AtomicLong(1_000_000);
     private final Loop loop = new Loop(clock::get);
     private final Set<Channel> busy = new HashSet<>();
-    private final Admission admission = new Admission(loop, 2, LONGEST_MUTE, channel -> !busy.contains(channel));
+    private final Admission admission = new Admission(loop, () -> 2, LONGEST_MUTE, channel -> !busy.contains(channel));
 
     @AfterEach
     void stop() {
--- /dev/null
+++ b/src/test/java/wingspread/net/DescriptorsTest.java
@@ -0,0 +1,30 @@
+package wingspread.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class DescriptorsTest {
+    @Test
+    void callersAlwaysHaveTheirThirdAndBothTogetherStayBelowTheLimit() {
+        for (int limit : new int[] {256, 512, 608, 1_024, 4_096}) {
+            Descriptors descriptors = new Descriptors(limit);
+            for (int callers = 0; callers <= limit / 3; callers += 7) {
+                int exchanges = descriptors.forExchanges(callers);
+                assertTrue(exchanges >= limit * 2 / 5, limit + " " + callers);
+                assertTrue(callers + exchanges < limit - 53, limit + " " + callers);
+                assertTrue(descriptors.forCallers(exchanges) >= limit / 3);
+            }
+            for (int exchanges = 0; exchanges < descriptors.forExchanges(0); exchanges += 7) {
+                assertTrue(descriptors.forCallers(exchanges) + exchanges < limit - 53, limit + " " + exchanges);
+            }
+        }
+    }
+
+    @Test
+    void whatExchangesDoNotNeedIdleCallersMayHold() {
+        assertEquals(614, new Descriptors(1_024).forCallers(36));
+        assertEquals(341, new Descriptors(1_024).forCallers(1_000));
+    }
+}
