--- a/src/main/java/wingspread/testbed/NameServer.java
+++ b/src/main/java/wingspread/testbed/NameServer.java
@@ -1,10 +1,20 @@
 package wingspread.testbed;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.ByteArrayOutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -30,21 +40,55 @@
     /** An exchange as the directory names it; {@code startedMs} in Unix milliseconds, 0 for long past. */
     record Named(String uid, String zone, int place, int port, Readiness readiness, long startedMs) { }
 
+    /** Bytes of an answer over UDP; a longer list is cut after its last whole exchange, and had whole over TCP. */
+    private static final int MOST_UDP = 8_000;
+    private static final int TRUNCATED = 0x0200;
+    private static final int LONGEST = 65_535;
+
     private final Channel channel;
+    private final Channel whole;
     private final Map<String, Named> named = new LinkedHashMap<>();
     private int serial = 1;
 
-    /** Answers at a free port of the loopback. */
+    /** Answers at a free port of the loopback, the same one over UDP and over TCP. */
     NameServer(Loop loop) {
-        channel = new Bootstrap().group(loop.group()).channel(NioDatagramChannel.class)
-                .handler(new DatagramHandler("name server", (ctx, bytes, sender) -> {
-                    if (bytes.length < HEADER) {
-                        throw new BadInput("DNS: the question ends early");
+        InetAddress local = InetAddress.getLoopbackAddress();
+        whole = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel connection) {
+                        connection.pipeline().addLast(new LengthFieldBasedFrameDecoder(LONGEST, 0, 2, 0, 2),
+                                new LengthFieldPrepender(2), new WholeAnswer());
                     }
-                    ctx.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(
-                            answer(bytes, serial, named.values())), sender));
-                }))
-                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly().channel();
+                })
+                .bind(new InetSocketAddress(local, 0)).syncUninterruptibly().channel();
+        channel = new Bootstrap().group(loop.group()).channel(NioDatagramChannel.class)
+                .handler(new DatagramHandler("name server", (ctx, bytes, sender) ->
+                        ctx.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(
+                                answer(checked(bytes), serial, named.values(), MOST_UDP)), sender))))
+                .bind(new InetSocketAddress(local, ((InetSocketAddress) whole.localAddress()).getPort()))
+                .syncUninterruptibly().channel();
+    }
+
+    private static byte[] checked(byte[] question) throws BadInput {
+        if (question.length < HEADER) {
+            throw new BadInput("DNS: the question ends early");
+        }
+        return question;
+    }
+
+    /** Answers the questions of one connection. */
+    private final class WholeAnswer extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf question) throws BadInput {
+            ctx.writeAndFlush(Unpooled.wrappedBuffer(
+                    answer(checked(ByteBufUtil.getBytes(question)), serial, named.values(), LONGEST)));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
     }
 
     int port() {
@@ -65,13 +109,24 @@
 
     void close() {
         channel.close();
+        whole.close();
+    }
+
+    /** The answer to a question, with the whole list or as much of it as the bytes hold. */
+    static byte[] answer(byte[] question, int serial, Collection<Named> all, int most) {
+        byte[] answer = answer(question, serial, all, false);
+        // Each exchange takes as many bytes as the next, but for some digits.
+        long fitting = (long) all.size() * most / answer.length;
+        while (answer.length > most) {
+            answer = answer(question, serial, all.stream().limit(fitting--).toList(), true);
+        }
+        return answer;
     }
 
-    /** The answer to a question, with the whole list. */
-    static byte[] answer(byte[] question, int serial, Collection<Named> list) {
+    private static byte[] answer(byte[] question, int serial, Collection<Named> list, boolean cut) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.write(question, 0, 2);
-        u16(out, 0x8400, 1, list.size(), 1, 2 * list.size());
+        u16(out, 0x8400 | (cut ? TRUNCATED : 0), 1, list.size(), 1, 2 * list.size());
         out.write(question, HEADER, question.length - HEADER);
         for (Named one : list) {
             byte[] target = name(one.uid(), one.zone(), "hosts");
--- a/src/main/java/wingspread/testbed/Testbed.java
+++ b/src/main/java/wingspread/testbed/Testbed.java
@@ -10,13 +10,12 @@
 import wingspread.testbed.SocketSoftswitches.Fault;
 
 /**
- * One day of a scenario with real softswitch processes. The laboratory's model plays the exchanges, circuits, callers
- * and troubles and checks the rules; its time is the wall's, and what it and the softswitches say to each other goes
- * over sockets. So the same file can be played in both and compared.
+ * One day of a scenario with real softswitch processes, each of some 50 MB and with a connection to every exchange,
+ * which the machine must carry. The laboratory's model plays the exchanges, circuits, callers and troubles and checks
+ * the rules; its time is the wall's, and what it and the softswitches say to each other goes over sockets. So the same
+ * file can be played in both and compared.
  */
 public final class Testbed {
-    /** More processes than this are no test of anything but the machine. */
-    public static final int MOST_PLACES = 16;
     /** What the sockets, the poll and the machine's own scheduling may add to a time that a rule is about. */
     private static final long SLACK = 30_000;
     private static final String TICK = "tick = \"1ms\"";
@@ -36,8 +35,7 @@
      *
      * @param storm the text of the softswitches' {@code deploy/storm.toml}; null for none
      * @param connections of the callers of each softswitch
-     * @throws HostException where the scenario has more exchanges than the machine could carry, or a place that is
-     *     to be struck does not exist
+     * @throws HostException where a place that is to be struck does not exist
      */
     public Testbed(Scenario scenario, long seed, Path folder, String storm, int connections, List<Fault> faults) {
         this.scenario = scenario.with(TICK);
@@ -47,10 +45,6 @@
         this.connections = connections;
         this.faults = faults;
         int places = this.scenario.day(new Streams(seed, 0)).fleet().exchanges();
-        if (places > MOST_PLACES) {
-            throw new HostException(scenario.name() + ": " + places + " exchanges; " + MOST_PLACES
-                    + " at the most were expected, as in --set fleet.exchanges=4");
-        }
         if (faults.stream().anyMatch(fault -> fault.place() < 0 || fault.place() >= places)) {
             throw new HostException("--fault: the places run from 0 to " + (places - 1));
         }
