Hear SIGHUP and SIGTERM from the first moments of the start

Found by reading: the handlers stood once the softswitch was built (Softswitch.start), 0.3 to 0.4 s after main. A SIGHUP until then ends the program, which is its default, and a reload sent to a whole fleet amid restarts finds some softswitch in that time. Ruled out: ignoring it in run by the shell, since the JVM then never hears it at all.

Signals.keep is the first thing that serve does; a signal that comes before its task is kept for it. So a configuration that moved meanwhile is read again, and SIGTERM before the listener stands ends the program with 0. What is left is the start of the JVM itself, before main.

--- a/src/main/java/wingspread/Main.java
+++ b/src/main/java/wingspread/Main.java
@@ -8,6 +8,7 @@
 import wingspread.config.SipConfig;
 import wingspread.config.StormConfig;
 import wingspread.config.Switch;
+import wingspread.net.Signals;
 import wingspread.record.RecordConfig;
 import wingspread.toml.TomlException;
 import wingspread.wirehost.WireHost;
@@ -50,6 +51,7 @@
 
     private static int serve() {
         try {
+            Signals.keep("HUP", "TERM", "INT");
             new Softswitch(System.getenv(), SipConfig.read(SIP_FILE),
                     Switch.mayBeOn(RECORD_FILE) ? RecordConfig.read(RECORD_FILE) : null,
                     StormConfig.read(STORM_FILE)).start();
--- a/src/test/java/wingspread/net/MessageHandlerTest.java
+++ b/src/test/java/wingspread/net/MessageHandlerTest.java
@@ -47,6 +47,19 @@
         assertFalse(channel.isOpen());
     }
 
+    @Test
+    void itIsBusyWhileAMessageIsThereInPartOrALineIsNotSent() {
+        assertFalse(MessageHandler.busy(channel));
+        read("{");
+        assertTrue(MessageHandler.busy(channel));
+        read("}\n");
+        assertFalse(MessageHandler.busy(channel));
+        MessageHandler.write(channel, Unpooled.copiedBuffer("{}\n", StandardCharsets.US_ASCII));
+        assertTrue(MessageHandler.busy(channel));
+        channel.flush();
+        assertFalse(MessageHandler.busy(channel));
+    }
+
     @Test
     void aMessageWhoseRestComesIsTakenAndTheNextHasItsOwnTime() {
         read("{");
