--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -266,7 +266,7 @@
         connecting = true;
         connectingSince = loop.now();
         metrics.count("sent.connects");
-        new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
+        new Bootstrap().group(loop.group()).channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000))
                 .handler(new ChannelInitializer<NioSocketChannel>() {
