Let each link that wants room take the place of another idle link, in one turn too

Found on reading the change again: a connection that makes room is closed at once, but told as ended only after the turn, so Link.idle still counted it, and two links that wanted room in one turn both took the place of the same one. So the budget of descriptors could be passed by as many as asked in one turn.

A link whose connection is no longer up is not idle: the next one that wants room finds another.

LinksTest: two set-ups in one turn with room for two, 3 connections without the change and 2 with it.

--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -127,7 +127,8 @@
     /** Whether it holds connections, no set-up is under way on any, and nothing is to go out or there in part. */
     boolean idle() {
         return !open.isEmpty() && waiting.isEmpty() && open.entrySet().stream()
-                .allMatch(e -> e.getValue().setUps.isEmpty() && !MessageHandler.busy(e.getKey()));
+                .allMatch(e -> e.getValue().setUps.isEmpty() && e.getKey().isActive()
+                        && !MessageHandler.busy(e.getKey()));
     }
 
     /** When a set-up was last sent; 0 for never. */
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -207,6 +208,29 @@
         }
     }
 
+    @Test
+    void twoThatWantRoomInOneTurnTakeThePlacesOfTwoIdleLinks() throws Exception {
+        accept();
+        try (ServerSocket other = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            other.setSoTimeout(10_000);
+            InetSocketAddress at = (InetSocketAddress) other.getLocalSocketAddress();
+            List<Listing> listings = LongStream.rangeClosed(2, 4).mapToObj(i -> new Listing("s-" + i, at,
+                    new Exchange(i, 0, 0, (int) i, Readiness.READY, 1, 0))).toList();
+            loop.execute(() -> links.update(listings.subList(0, 1)));
+            other.accept();
+            assertEquals(2, inLoop(links::open));
+            most = 2;
+            loop.execute(() -> {
+                links.update(listings.subList(1, 3));
+                links.invite(AttemptFixture.attempt("c", 3, clock.get(), clock.get() + 1_500_000));
+                links.invite(AttemptFixture.attempt("d", 4, clock.get(), clock.get() + 1_500_000));
+            });
+            other.accept();
+            other.accept();
+            assertEquals(2, inLoop(links::open));
+        }
+    }
+
     private static ByteBuf response(SipMessage invite) {
         return SipMessage.response(503, "x").with("Call-ID", invite.callId()).with("CSeq", "1 INVITE").encode();
     }
