Do not leave at a planned end while a caller without a JSON connection is owed an answer

The calls that are owed an answer are a figure of the decision again: it leaves when neither they nor connections are left, or at the last moment before SIGKILL.

--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -170,7 +170,7 @@
 
     private void lookAgain(PlannedEnd plan) {
         loop.at(loop.now() + LOOK_EVERY, () -> {
-            switch (plan.next(loop.now(), planner.standing(), front.connections())) {
+            switch (plan.next(loop.now(), planner.unanswered(), planner.standing(), front.connections())) {
                 case LEAVE -> {
                     planner.handOver();
                     loop.wantTurn();
--- a/src/main/java/wingspread/core/PlannedEnd.java
+++ b/src/main/java/wingspread/core/PlannedEnd.java
@@ -69,12 +69,13 @@
     }
 
     /**
-     * The next step: SERVE, one STOP_LISTENING, SERVE, CLOSE_IDLE and one LEAVE, in this order.
+     * The next step: SERVE, one STOP_LISTENING, then SERVE and CLOSE_IDLE, and one LEAVE.
      *
+     * @param unanswered calls that are owed an answer, also to callers without a connection
      * @param standing calls that stand
      * @param connections that callers hold
      */
-    public Step next(long now, long standing, int connections) {
+    public Step next(long now, long unanswered, long standing, int connections) {
         if (listening) {
             if (now < begun + CONNECTIONS_COME && now < lastAnswer() - REQUESTS_COME) {
                 return Step.SERVE;
@@ -92,6 +93,6 @@
         if (!come || !runOut) {
             return Step.SERVE;
         }
-        return connections > 0 ? Step.CLOSE_IDLE : Step.LEAVE;
+        return connections > 0 ? Step.CLOSE_IDLE : unanswered > 0 ? Step.SERVE : Step.LEAVE;
     }
 }
--- a/src/test/java/wingspread/core/PlannedEndTest.java
+++ b/src/test/java/wingspread/core/PlannedEndTest.java
@@ -21,10 +21,15 @@
      * hold a connection until another. Each change of step is noted with its time.
      */
     private static List<String> play(PlannedEnd end, long standingUntil, long connectedUntil) {
+        return play(end, 0, standingUntil, connectedUntil);
+    }
+
+    private static List<String> play(PlannedEnd end, long unansweredUntil, long standingUntil, long connectedUntil) {
         List<String> out = new ArrayList<>();
         Step before = Step.SERVE;
         for (long at = 0; before != Step.LEAVE; at += 20) {
-            Step step = end.next(TERM + at * MS, at < standingUntil ? 1 : 0, at < connectedUntil ? 1 : 0);
+            Step step = end.next(TERM + at * MS, at < unansweredUntil ? 1 : 0, at < standingUntil ? 1 : 0,
+                    at < connectedUntil ? 1 : 0);
             if (step != before) {
                 out.add(step + " " + at);
             }
@@ -44,6 +49,12 @@
                 play(end(9_000), 0, 2_500));
     }
 
+    /** A caller over UDP holds no connection and is owed its answer all the same. */
+    @Test
+    void withoutAConnectionAnswersAreOwedToo() {
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "LEAVE 2000"), play(end(9_000), 2_000, 0, 0));
+    }
+
     @Test
     void whatStandsRunsOnForAWhile() {
         assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_IDLE 1700", "LEAVE 2000"),
