Play a second SIGTERM and a reload during the planned end, and a call in pieces

Change: ServeTest's planned end has all three before the call that nobody answers; the program is as it was.

--- a/src/test/java/wingspread/ServeTest.java
+++ b/src/test/java/wingspread/ServeTest.java
@@ -318,8 +318,12 @@
         try (Wire<Map<?, ?>> late = connect()) {
             asksUntil(late, 0);
         }
-        caller.send("{\"op\":\"offer\",\"call\":\"" + ID + "\",\"with\":{\"class\":\"plain\",\"left\":\"60000\","
-                + "\"key\":\"00FF\",\"extras\":\"dest:1;width:1;via:2;transit:1\"},\"desc\":\"\"}\n");
+        // Neither a second SIGTERM nor a reload changes what is owed, nor does a call that comes in pieces.
+        process.toHandle().destroy();
+        hangUp();
+        caller.send("{\"op\":\"offer\",\"call\":\"" + ID + "\",\"with\":{\"class\":\"plain\",");
+        caller.send("\"left\":\"60000\",\"key\":\"00FF\",\"extras\":\"dest:1;width:1;via:2;transit:1\"},"
+                + "\"desc\":\"\"}\n");
         heard("INVITE");
         assertEquals(ID, told("end").get("call"));
         assertTrue(caller.closed());
