Let no overtaken part of a list make an exchange ready again that was told to drain

Found on reading the change again: a cut answer does not advance the list's number, so an older one that came late passed Roster.read, and one cut before its number always did. Either could turn DRAINING back to READY, against the drain rule, and only then would a whole answer put it right.

The highest number of any answer is kept, also of one not taken whole, and a lower one is turned away; an answer without a number makes nobody ready who drains.

DirectoryTest plays both orders and fails without the change.

--- a/src/main/java/wingspread/directory/Roster.java
+++ b/src/main/java/wingspread/directory/Roster.java
@@ -34,6 +34,8 @@
     private final Map<String, Host> learnt = new LinkedHashMap<>();
     private long lastNumber;
     private long serial;
+    /** The highest number of any answer, also of one that could not be taken whole. */
+    private long newest;
 
     /** What is known of a host; null where nothing was said. */
     private static final class Host {
@@ -126,14 +128,16 @@
 
     /**
      * Takes a list. Guards against an answer that was overtaken by a later one: its serial number is lower. One that is
-     * cut short may lack it, and is then taken as news.
+     * cut short may lack it, and is then taken as news; but it makes nobody ready who was told to drain, since it may
+     * be the older one.
      *
      * @throws BadInput where a record cannot be understood; the list stays as it was
      */
     Reading read(DnsMessage message) throws BadInput {
         long newSerial = message.records().stream().filter(DnsMessage.Soa.class::isInstance)
                 .mapToLong(r -> ((DnsMessage.Soa) r).serial()).max().orElse(message.truncated() ? Long.MAX_VALUE : -1);
-        if (newSerial <= serial) {
+        boolean numbered = newSerial < Long.MAX_VALUE;
+        if (newSerial <= serial || newSerial < newest) {
             return new Reading(List.of(), Set.of());
         }
         Map<String, Host> hosts = new HashMap<>();
@@ -148,7 +152,7 @@
                 Listing listing = listing(uid, srv, hosts);
                 if (listing == null) {
                     lacking.add(srv.target());
-                } else if (!listing.same(present.get(uid))) {
+                } else if (!listing.same(present.get(uid)) && (numbered || !resumes(listing))) {
                     changes.add(listing);
                 }
             }
@@ -162,10 +166,17 @@
             // Guards what is lacking: the same list must be read again once that is learnt.
             serial = lacking.isEmpty() ? newSerial : serial;
         }
+        newest = numbered ? newSerial : newest;
         changes.forEach(this::note);
         return new Reading(changes, lacking);
     }
 
+    private boolean resumes(Listing listing) {
+        Listing before = present.get(listing.uid());
+        return before != null && before.exchange().readiness() == Readiness.DRAINING
+                && listing.exchange().readiness() == Readiness.READY;
+    }
+
     /** Takes what was asked about one host. Facts that it has none of are known from then on. */
     void learn(String host, DnsMessage message) {
         while (learnt.size() >= MOST_LEARNT) {
--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -215,6 +215,17 @@
         assertEquals(List.of(), states(roster.read(list(2, false))));
     }
 
+    /** The drain rule: nothing goes to an exchange that was told to drain, whatever comes late. */
+    @Test
+    void aPartThatWasOvertakenMakesNobodyReadyAgain() throws BadInput {
+        roster.read(list(1, false, srv("a", 0), address("a"), facts("a")));
+        assertEquals(List.of("a 2 DRAINING"), states(roster.read(list(3, true, srv("a", 1)))));
+        assertEquals(List.of(), states(roster.read(list(2, true, srv("a", 0)))));
+        assertEquals(List.of(), states(roster.read(
+                new DnsMessage(99, 0, true, DnsMessage.SRV, List.of(srv("a", 0))))));
+        assertEquals(List.of("a 2 READY"), states(roster.read(list(4, true, srv("a", 0)))));
+    }
+
     @Test
     void aThousandExchangesComeThroughInOneMessageAndInParts() throws BadInput {
         List<DnsMessage.Record> whole = new ArrayList<>();
