--- a/src/main/java/wingspread/net/Descriptors.java
+++ b/src/main/java/wingspread/net/Descriptors.java
@@ -7,7 +7,7 @@
  * @param limit descriptors that the program may hold
  */
 public record Descriptors(int limit) {
-    /** Files, jars, the selector, the listener, the directory over UDP and TCP; 53 were counted. */
+    /** Files, up to 37 jars, the selector, the listener, the directory: 12 to 43 were counted. */
     private static final int OTHERS = 64;
     /** What is let in beyond the callers' third is for those who hold connections idly. */
     private static final double CALLERS_SHARE = 0.6;
