Log each change of a call's state by its id, with the reason of refusals, failures and cuts

Change: core.CallLog writes one line per change with the call's id first: at INFO each refusal, failure, attempt that came to nothing and cut with a reason code, at DEBUG (logger 'call') the ordinary states. Links log connections that come up, fall silent or are tried again and when; the JSON front logs where a release goes or that it waits.

--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -23,6 +23,8 @@
 import wingspread.control.CallControl.Status;
 import wingspread.control.Figures;
 import wingspread.control.WindowControl;
+import wingspread.core.CallLog.AnswerReason;
+import wingspread.core.CallLog.EndReason;
 import wingspread.turn.Deadlines;
 import wingspread.metrics.Metrics;
 import wingspread.storm.StormFigures;
@@ -51,6 +53,7 @@
     private final int mostCalls;
     private final Caller.Strangers strangers;
     private final CallControl control;
+    private final CallLog log = new CallLog();
     /** Null where storms are not damped. */
     private final StormDesk storms;
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
@@ -173,7 +176,7 @@
         for (Held held : List.copyOf(byId.values())) {
             if (held.standing() && !held.caller.outlivesRestart()) {
                 exchanges.release(held.last().exchange(), held.request.id(), CUT);
-                finish(clock.getAsLong(), held, Status.CANCELLED, Report.NOTHING, CUT);
+                finish(clock.getAsLong(), held, Status.CANCELLED, Report.NOTHING, CUT, EndReason.PLANNED_END);
             } else if (held.out()) {
                 exchanges.withdraw(held.last());
                 held.last().end();
@@ -205,7 +208,7 @@
                 ended(now, e.attempt(), e.status(), Cause.NONE, Report.NOTHING);
             }
         } else if (event instanceof Event.Died e) {
-            cutAll(now, e.exchange(), Long.MAX_VALUE);
+            cutAll(now, e.exchange(), Long.MAX_VALUE, EndReason.EXCHANGE_DOWN);
         } else if (event instanceof Event.Reported e) {
             if (storms != null) {
                 storms.reported(now, e.exchange(), e.report());
@@ -219,16 +222,19 @@
     private void offered(long now, Request asked, Caller caller) {
         Request request = asked.by(lastAnswer);
         metrics.count("taken.calls");
+        log.taken(request, now);
         // Guards against a set-up under the id of a call that is open, which must not start a second attempt: it
         // fails, whatever else it asks for, and the first one goes on.
         if (byId.containsKey(request.id())) {
             metrics.count("taken.repeats");
+            log.answered(request.id(), "failed", AnswerReason.REPEATED_ID, 0);
             caller.failed();
             return;
         }
         // Guards against more calls than the memory can hold: refused before the module hears of them.
         if (byId.size() >= mostCalls || descriptions + request.description().length > MOST_DESCRIPTIONS) {
             metrics.count("answered.overfull");
+            log.answered(request.id(), "refused", AnswerReason.TOO_MANY_CALLS, 0);
             caller.refused(settings.maxRetryAfter());
             return;
         }
@@ -236,6 +242,7 @@
         if (storms != null && !request.transit()) {
             Optional<Try> seen = storms.offered(now, request, number(request.number()), caller);
             if (seen.isEmpty()) {
+                log.answered(request.id(), "refused", AnswerReason.STORM, 0);
                 return;
             }
             held.seen = seen.get();
@@ -267,6 +274,8 @@
             LOG.warn("call {} came to {} unanswered", held.request.id(), early ? "the planned end" : "its deadline");
             control.onDropped(clock.getAsLong(), held.number);
             failed(held);
+            log.answered(held.request.id(), "failed", early ? AnswerReason.PLANNED_END : AnswerReason.DEADLINE,
+                    held.attempts.size());
             answer(held, "failed", held.caller::failed);
         }
     }
@@ -284,6 +293,7 @@
             metrics.count("taken.releases");
             exchanges.release(held.last().exchange(), id, cause);
             held.last().end();
+            log.over(held.last(), EndReason.CALLER_RELEASED, cause);
             outcome(now, held, held.last(), Status.CANCELLED, Cause.NONE, Report.NOTHING);
             forgetIfDone(held);
         }
@@ -302,6 +312,7 @@
             callerEnded(now, id, NORMAL);
         } else {
             metrics.count("taken.given-up");
+            log.answered(id, "given up", AnswerReason.CALLER_GAVE_UP, held.attempts.size());
             held.answered = true;
             held.caller.givenUp();
             failed(held);
@@ -320,6 +331,7 @@
         // nobody waits for, and would keep its circuits.
         if (attempt == null || !attempt.out() || held.answered) {
             metrics.count("sent.crossed-releases");
+            log.crossed(e.call(), e.exchange());
             exchanges.release(e.exchange(), e.call(), NORMAL);
             if (attempt != null && attempt.out()) {
                 ended(now, attempt, Status.CANCELLED, Cause.NONE, Report.NOTHING);
@@ -327,6 +339,7 @@
             return;
         }
         attempt.stand();
+        log.stood(attempt, now);
         control.onStood(now, held.number, attempt.index(), attempt.exchange(), now - attempt.sentAt());
         if (held.seen != null) {
             storms.gotThrough(now, held.seen);
@@ -340,11 +353,13 @@
         // An exchange says a release again on its next connection, which must not reach the caller twice.
         if (held == null && rememberOver(e.call())) {
             metrics.count("answered.strangers");
+            log.unknownReleased(e.call(), e.exchange(), e.cause());
             strangers.over(e.call(), e.cause());
         }
         Attempt attempt = attempt(e.exchange(), e.call());
         if (attempt != null && attempt.standing()) {
-            finish(now, held, e.cause() == NORMAL ? Status.OK : Status.RESET, e.report(), e.cause());
+            finish(now, held, e.cause() == NORMAL ? Status.OK : Status.RESET, e.report(), e.cause(),
+                    EndReason.EXCHANGE_RELEASED);
         } else if (attempt != null && attempt.out()) {
             ended(now, attempt, Status.RESET, Cause.NONE, e.report());
         }
@@ -354,7 +369,7 @@
         control.onExchangeList(now, e.kind(), e.entries());
         for (Exchange entry : e.entries()) {
             if (entry.readiness() == Readiness.GONE) {
-                cutAll(now, entry.address(), Long.MAX_VALUE);
+                cutAll(now, entry.address(), Long.MAX_VALUE, EndReason.EXCHANGE_REMOVED);
                 started.remove(entry.address());
                 if (storms != null) {
                     storms.gone(entry.address());
@@ -367,26 +382,27 @@
                 storms.listed(now, entry, restarted);
             }
             if (restarted) {
-                cutAll(now, entry.address(), entry.upSince());
+                cutAll(now, entry.address(), entry.upSince(), EndReason.EXCHANGE_RESTARTED);
             }
         }
     }
 
     /** Ends the calls that stood through an exchange and were sent before it last started. */
-    private void cutAll(long now, long exchange, long sentBefore) {
+    private void cutAll(long now, long exchange, long sentBefore, EndReason reason) {
         for (Held held : List.copyOf(byId.values())) {
             Attempt last = held.last();
             if (held.standing() && last.exchange() == exchange && last.sentAt() < sentBefore) {
-                finish(now, held, Status.RESET, Report.NOTHING, CUT);
+                finish(now, held, Status.RESET, Report.NOTHING, CUT, reason);
             }
         }
     }
 
     /** A standing call is over. */
-    private void finish(long now, Held held, Status status, Report report, int cause) {
+    private void finish(long now, Held held, Status status, Report report, int cause, EndReason reason) {
         Attempt attempt = held.last();
         attempt.end();
         metrics.count(cause == NORMAL ? "answered.over" : "answered.cut");
+        log.over(attempt, reason, cause);
         held.caller.over(cause);
         outcome(now, held, attempt, status, Cause.NONE, report);
         forgetIfDone(held);
@@ -396,6 +412,7 @@
     private void ended(long now, Attempt attempt, Status status, Cause cause, Report report) {
         attempt.end();
         metrics.count("ended." + status + (cause == Cause.NONE ? "" : "." + cause));
+        log.attemptEnded(attempt, now, status, cause);
         Held held = byNumber.get(attempt.call());
         outcome(now, held, attempt, status, cause, report);
         forgetIfDone(held);
@@ -476,6 +493,7 @@
         held.attempts.add(attempt);
         deadlines.add(attempt.deadline(), () -> timedOut(attempt));
         metrics.count("sent.set-ups");
+        log.sent(attempt);
         exchanges.invite(attempt);
     }
 
@@ -504,6 +522,7 @@
     private void unansweredCall(long call, String kind, Consumer<Held> saying) {
         Held held = byNumber.get(call);
         if (held != null && !held.answered) {
+            log.answered(held.request.id(), kind, AnswerReason.DECIDED, held.attempts.size());
             answer(held, kind, () -> saying.accept(held));
         }
     }
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -18,6 +18,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import wingspread.control.CallControl.CallClass;
 import wingspread.core.Caller;
 import wingspread.core.Event;
@@ -36,6 +38,7 @@
 
 /** The platform's front: callers' JSON lines over TCP. It decides nothing. */
 public final class JsonlFront implements MessageHandler.Owner<Map<?, ?>>, Caller.Strangers {
+    private static final Logger CALLS = LoggerFactory.getLogger("call");
     private static final int REFUSED = 42;
     private static final int INVALID = 100;
     /** A caller sends its call with the connection; what says nothing for so long holds a descriptor for nothing. */
@@ -283,9 +286,13 @@
     private void release(Channel channel, String call, int cause) {
         String line = line("end", call, "", cause, null);
         if (up(channel)) {
+            CALLS.debug("{} release told to caller {}", call, channel.remoteAddress());
             write(channel, line);
         } else if (unsentReleases.size() < MOST_RELEASES) {
+            CALLS.info("{} release waits: no caller is connected", call);
             unsentReleases.add(line);
+        } else {
+            CALLS.warn("{} release dropped: {} wait for a caller to connect", call, MOST_RELEASES);
         }
     }
 
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -212,6 +212,8 @@
     private void replaceIfSilent(Open connection, Attempt attempt) {
         if (loop.now() >= attempt.sentAt() + connectTimeout / 2 && connection.heardAt <= attempt.sentAt()) {
             connection.silent = true;
+            LOG.info("exchange {} {} has fallen silent: nothing since {} ms, call {} unanswered", number, endpoint,
+                    (loop.now() - connection.heardAt) / 1_000, attempt.request().id());
             // Even where another one works: releases of calls set up on the silent one are said again on a new one.
             connect();
         }
@@ -310,6 +312,8 @@
             }
         }
         open.put(f.channel(), new Open(loop.now()));
+        LOG.info("exchange {} {} connected in {} ms, {} open, {} set-ups wait", number, endpoint,
+                tookToConnect / 1_000, open.size(), waiting.size());
         while (!unsentReleases.isEmpty()) {
             write(f.channel(), unsentReleases.remove());
         }
@@ -335,7 +339,9 @@
             return;
         }
         retrying = true;
-        loop.at(loop.now() + backoff.next(), () -> {
+        long wait = backoff.next();
+        LOG.info("exchange {} {} is connected to again in {} ms", number, endpoint, wait / 1_000);
+        loop.at(loop.now() + wait, () -> {
             retrying = false;
             if (best() == null) {
                 connect();
