Reproduce callers told too late on real processes, and list the failing test as known

Cause: not mended yet. The test shows incident bf494b on two real softswitch processes: two exchanges vanish (silent connections, new ones never come up) with calls standing, and the directory is silent for 12 s. Change: wingspread.testbed.soak plays a schedule of faults on real processes: exchanges behind TCP proxies that cut, hold connects, reset and split; a directory and callers that misbehave; a judge over the lab's rule book, which gains the rule on calls that are over (lab.rules.StandingCalls: 1 s after a release, 8 s after an end without one). KNOWN-RED.txt lists the test; JUnit and jqwik let exactly the listed tests fail, print them, and fail the build when one of them passes (KnownRedTest).

--- a/src/main/java/wingspread/lab/rules/Breach.java
+++ b/src/main/java/wingspread/lab/rules/Breach.java
@@ -6,7 +6,9 @@
  */
 public record Breach(Rule rule, String call, int place, long at, String what) {
     /** The rules of the platform that the checker knows. */
-    public enum Rule { ONE_ANSWER, ONE_ATTEMPT, CLEAN_DRAIN, FAIL_BACK, RELEASE_FIRST, ROUTE }
+    public enum Rule { ONE_ANSWER, ONE_ATTEMPT, CLEAN_DRAIN, FAIL_BACK, RELEASE_FIRST, ROUTE, RELEASE_TOLD,
+        /** The softswitch as a process: ready in time, within its limits, no crash, nothing left over. */
+        PROCESS }
 
     @Override
     public String toString() {
--- a/src/main/java/wingspread/lab/rules/RuleBook.java
+++ b/src/main/java/wingspread/lab/rules/RuleBook.java
@@ -23,6 +23,7 @@
     private final long start;
     private final List<Breach> breaches = new ArrayList<>();
     private final Set<Taken> open = new LinkedHashSet<>();
+    private final StandingCalls standing;
     /** For each softswitch's place, when it was told that an exchange takes no more work. */
     private final Map<Integer, Map<Long, Long>> toldAway = new HashMap<>();
     private final Map<Integer, Set<Long>> named = new HashMap<>();
@@ -34,6 +35,7 @@
         this.maxAttempts = maxAttempts;
         this.release = release;
         this.start = start;
+        this.standing = new StandingCalls(rules.answerGrace());
     }
 
     /** A softswitch has taken a call; {@code onlyTo} is the place of its destination in transit, else -1. */
@@ -89,6 +91,36 @@
         taken.out = true;
     }
 
+    /** A call stands: its caller is owed word of its end. */
+    public void stood(String call, int place) {
+        standing.stood(call, place);
+    }
+
+    /** A call that stood is over, and no release of it could be sent to its softswitch. */
+    public void over(String call, long now) {
+        standing.over(call, now);
+    }
+
+    /** An exchange has sent its softswitch the release of a call that stood. */
+    public void released(String call, long now) {
+        standing.released(call, now);
+    }
+
+    /** The caller has heard of the end of its call, or has ended it. */
+    public void toldOver(String call, long now) {
+        standing.told(call, now).ifPresent(this::note);
+    }
+
+    /** Nothing is owed on a call that stood; the reason is one of those that the pages name. */
+    public void excused(String call) {
+        standing.forget(call);
+    }
+
+    /** Something else is wrong, as {@code rule} says. */
+    public void broken(Rule rule, String call, int place, long now, String what) {
+        note(new Breach(rule, call, place, now - start, what));
+    }
+
     /** A set-up leaves for a call that is not open, or for an exchange that never was. */
     public void sentAstray(String call, int place, long now) {
         note(new Breach(Rule.ROUTE, call, place, now - start, "a set-up for a call or toward an exchange unknown"));
@@ -130,12 +162,17 @@
                 breach(Rule.ONE_ANSWER, taken, now, "never answered");
             }
         }
+        standing.neverTold(now).forEach(this::note);
     }
 
     private void breach(Rule rule, Taken taken, long now, String what) {
         note(new Breach(rule, taken.call, taken.place, now - start, what));
     }
 
+    private void note(StandingCalls.Late late) {
+        note(new Breach(Rule.RELEASE_TOLD, late.call(), late.place(), late.at() - start, late.what()));
+    }
+
     private void note(Breach breach) {
         counted++;
         if (breaches.size() < MOST_KEPT) {
--- a/src/main/java/wingspread/testbed/NameServer.java
+++ b/src/main/java/wingspread/testbed/NameServer.java
@@ -28,7 +28,7 @@
 import wingspread.net.Loop;
 
 /** The stand-in for the directory that one softswitch asks: DNS answers with SRV, A, TXT and SOA (RFC 1035, 2782). */
-final class NameServer {
+public final class NameServer {
     private static final int HEADER = 12;
     private static final int A = 1;
     private static final int SOA = 6;
@@ -38,7 +38,7 @@
     private static final String[] SERVICE = {"_back", "_tcp", "pool", "lan"};
 
     /** An exchange as the directory names it; {@code startedMs} in Unix milliseconds, 0 for long past. */
-    record Named(String uid, String zone, int place, int port, Readiness readiness, long startedMs) { }
+    public record Named(String uid, String zone, int place, int port, Readiness readiness, long startedMs) { }
 
     /** Bytes of an answer over UDP; a longer list is cut after its last whole exchange, and had whole over TCP. */
     private static final int MOST_UDP = 8_000;
@@ -113,7 +113,7 @@
     }
 
     /** The answer to a question, with the whole list or as much of it as the bytes hold. */
-    static byte[] answer(byte[] question, int serial, Collection<Named> all, int most) {
+    public static byte[] answer(byte[] question, int serial, Collection<Named> all, int most) {
         byte[] answer = answer(question, serial, all, false);
         // Each exchange takes as many bytes as the next, but for some digits.
         long fitting = (long) all.size() * most / answer.length;
--- a/src/main/java/wingspread/testbed/Ports.java
+++ b/src/main/java/wingspread/testbed/Ports.java
@@ -5,10 +5,11 @@
 import java.net.ServerSocket;
 
 /** Free ports of the loopback, found by the kernel. */
-final class Ports {
+public final class Ports {
     private Ports() { }
 
-    static int free() throws IOException {
+    /** One that nothing listens at now. */
+    public static int free() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return free.getLocalPort();
         }
--- a/src/main/java/wingspread/testbed/SoftswitchProcess.java
+++ b/src/main/java/wingspread/testbed/SoftswitchProcess.java
@@ -19,37 +19,52 @@
 import wingspread.control.CallControl.Settings;
 
 /** A real softswitch in a process of its own, with its configuration and its log in a folder. */
-final class SoftswitchProcess {
+public final class SoftswitchProcess {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long CONNECT_TIMEOUT = 500_000;
-    private static final int SOCKETS = 8_192;
     private static final int LONGEST_END = 6;
-    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-Xmx96m", "-XX:TieredStopAtLevel=1",
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
             "-XX:-UsePerfData");
 
     private final Path folder;
+    private final Limits limits;
+    private final List<String> more;
     private Process process;
 
+    /**
+     * What the platform allows it.
+     *
+     * @param heapMb megabytes of the JVM's heap
+     * @param sockets descriptors, as its configuration states them
+     */
+    public record Limits(int heapMb, int sockets) {
+        /** What is ample for a run of the laboratory's model. */
+        static final Limits AMPLE = new Limits(96, 8_192);
+    }
+
     /**
      * A softswitch that is not started yet.
      *
      * @param storm what stands in its {@code deploy/storm.toml}; null for no such file
+     * @param more further arguments of its JVM
      * @throws IOException where its folder cannot be written
      */
-    SoftswitchProcess(Path folder, String storm) throws IOException {
+    public SoftswitchProcess(Path folder, String storm, Limits limits, List<String> more) throws IOException {
         this.folder = Files.createDirectories(folder);
+        this.limits = limits;
+        this.more = more;
         if (storm != null) {
             Files.writeString(Files.createDirectories(folder.resolve("deploy")).resolve("storm.toml"), storm);
         }
     }
 
     /** Writes what the platform would tell it. */
-    void configure(Settings settings, long seed, int port, int namesPort, Collection<NameServer.Named> known)
+    public void configure(Settings settings, long seed, int port, int namesPort, Collection<NameServer.Named> known)
             throws IOException {
         ObjectNode out = JSON.createObjectNode().put("name", "n" + settings.ownPlace())
                 .put("listen", "127.0.0.1:" + port).put("seed", Long.toHexString(seed))
                 .put("names", "127.0.0.1:" + namesPort);
-        out.putObject("limits").put("sockets", SOCKETS);
+        out.putObject("limits").put("sockets", limits.sockets());
         out.set("settings", settings(settings, known));
         ArrayNode targets = out.putObject("known").put("rev", 1).putArray("notices").addObject().put("rev", 1)
                 .putObject("pool").put("all", true).putArray("targets");
@@ -94,12 +109,14 @@
     }
 
     /** Starts it, with this program's own class path. */
-    void start() throws IOException {
+    public void start() throws IOException {
         String path = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
                 .map(part -> Path.of(part).toAbsolutePath().toString()).collect(Collectors.joining(File.pathSeparator));
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
+        command.add("-Xmx" + limits.heapMb() + "m");
+        command.addAll(more);
         command.addAll(List.of("-cp", path, "wingspread.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile());
         builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
@@ -109,35 +126,42 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile())).start();
     }
 
-    Path log() {
+    /** Where its output goes; it is appended to at each start. */
+    public Path log() {
         return folder.resolve("softswitch.log");
     }
 
-    boolean alive() {
+    /** Whether it runs. */
+    public boolean alive() {
         return process != null && process.isAlive();
     }
 
+    /** The process that was started last; null before the first start. */
+    public Process process() {
+        return process;
+    }
+
     /** Ends it without a word to anybody. */
-    void kill() {
+    public void kill() {
         process.destroyForcibly();
     }
 
     /** Asks it to end in good order, all softswitches at once; {@link #awaitEnd} waits. */
-    void end() {
+    public void end() {
         if (process != null) {
             process.destroy();
         }
     }
 
     /** Waits for its end, and forces it after some seconds. */
-    void awaitEnd() throws InterruptedException {
+    public void awaitEnd() throws InterruptedException {
         if (process != null && !process.waitFor(LONGEST_END, TimeUnit.SECONDS)) {
             process.destroyForcibly().waitFor();
         }
     }
 
     /** The lines of its log. */
-    List<String> lines() throws IOException {
+    public List<String> lines() throws IOException {
         return Files.exists(log()) ? Files.readAllLines(log()) : List.of();
     }
 }
--- /dev/null
+++ b/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
@@ -0,0 +1,298 @@
+package wingspread.testbed.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import wingspread.control.CallControl.CallClass;
+import wingspread.control.CallControl.Effect;
+import wingspread.control.CallControl.Layout;
+import wingspread.control.CallControl.Obligations;
+import wingspread.control.CallControl.RepeatGroup;
+import wingspread.control.CallControl.Reports;
+import wingspread.control.CallControl.Settings;
+import wingspread.net.Loop;
+import wingspread.testbed.NameServer.Named;
+import wingspread.testbed.Ports;
+import wingspread.testbed.SoftswitchProcess;
+import wingspread.testbed.SoftswitchProcess.Limits;
+
+/**
+ * One softswitch of a trial: its process, the directory that it asks and its callers. Started, ended and killed as the
+ * platform does it. Confined to the loop, but for what is said to wait.
+ */
+final class SoftswitchHost {
+    /** The platform's longest deadline for SIGKILL, and what it adds. */
+    private static final long LONGEST_DEADLINE = 3_000_000;
+    private static final long KILL_AFTER_DEADLINE = 700_000;
+    /** 'What the directory has to tell counts as told no later than 7 s afterwards', and 4 s after SIGHUP. */
+    private static final long TOLD_AT_LATEST = 7_000_000;
+    private static final long TOLD_AFTER_RELOAD = 4_000_000;
+    private static final long DOWN_TIME = 300_000;
+    private static final long WATCH_EVERY = 100_000;
+    private static final long READY_WITHIN = 10_000_000;
+    private static final int CONNECTIONS = 4;
+    /** The JVM's own memory beside its heap: code, classes, stacks, collector, and direct buffers. */
+    private static final int MB_BESIDE_HEAP = 110;
+
+    private final Loop loop;
+    private final int number;
+    private final Schedule.Deployment deployment;
+    private final TrialLog log;
+    private final Judge judge;
+    private final SoftswitchProcess process;
+    private final DirectoryStandIn directory;
+    private final CallerStandIn callers;
+    private final int port;
+    private final SplittableRandom random;
+    private long startedAt;
+    private boolean ending;
+    private boolean reportedUnready;
+    /** The trial is over: nothing is started again. */
+    private boolean over;
+    private int mostDescriptors;
+    private int mostMemoryMb;
+
+    SoftswitchHost(Loop loop, int number, Schedule.Deployment deployment, Path folder, List<String> jvmArguments,
+            SplittableRandom random, TrialLog log, Judge judge) throws IOException {
+        this.loop = loop;
+        this.number = number;
+        this.deployment = deployment;
+        this.random = random;
+        this.log = log;
+        this.judge = judge;
+        this.port = Ports.free();
+        this.process = new SoftswitchProcess(folder.resolve("n" + number), null,
+                new Limits(deployment.heapMb(), deployment.sockets()), jvmArguments);
+        this.directory = new DirectoryStandIn(loop, number, log, judge);
+        this.callers = new CallerStandIn(loop, number, port, CONNECTIONS, deployment, random.split(), log, judge);
+    }
+
+    DirectoryStandIn directory() {
+        return directory;
+    }
+
+    CallerStandIn callers() {
+        return callers;
+    }
+
+    int port() {
+        return port;
+    }
+
+    String party() {
+        return "n" + number;
+    }
+
+    // Start and end.
+
+    /** Starts the process with the list as it is now. */
+    void start() {
+        try {
+            judge.started(number, directory.list().stream().map(Named::uid).toList());
+            process.configure(settings(), random.nextLong() & Long.MAX_VALUE, port, directory.port(),
+                    directory.list());
+            process.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        startedAt = loop.now();
+        ending = false;
+        reportedUnready = false;
+        log.add(party(), "process " + process.process().pid() + " is started");
+        watch(process.process());
+    }
+
+    private Settings settings() {
+        List<Integer> deadlines = deployment.deadlinesMs();
+        List<CallClass> classes = IntStream.range(0, deadlines.size()).mapToObj(i -> new CallClass(
+                "c" + i, deadlines.get(i) * 500L, deadlines.get(i) * 1_000L, 1, 0.2, 1,
+                deployment.holdingMs() * 1_000L, Effect.SAFE, RepeatGroup.ALL, 0, List.of())).toList();
+        return new Settings(Layout.NETWORK, number, number % deployment.zones(), number, deployment.softswitches(),
+                classes, false, Reports.PIGGYBACK, false, false, true, false, false, true, 2_000_000, 6, 200_000, 0,
+                new Obligations(20_000, 500_000, 0, 0.3, 14_000_000, 2, 1_000_000));
+    }
+
+    /** SIGTERM; callers go on, and SIGKILL follows at the earliest time that the platform allows. */
+    void restart() {
+        Process ended = process.process();
+        if (!terminate()) {
+            return;
+        }
+        loop.at(loop.now() + longestEnd(), () -> {
+            if (ended.isAlive()) {
+                log.add(party(), "SIGKILL after a planned end that took too long");
+                callers.killed();
+                ended.destroyForcibly();
+            }
+            startAgainSoon();
+        });
+    }
+
+    /** From SIGTERM to SIGKILL. */
+    long longestEnd() {
+        return Math.min(deployment.longestDeadline(), LONGEST_DEADLINE) + KILL_AFTER_DEADLINE;
+    }
+
+    /** SIGTERM alone; false where the process is ending already, or down. */
+    boolean terminate() {
+        if (ending || !process.alive()) {
+            return false;
+        }
+        ending = true;
+        log.add(party(), "SIGTERM");
+        callers.terminated();
+        process.end();
+        return true;
+    }
+
+    /** SIGKILL without a word, and a new start. */
+    void kill() {
+        if (ending || !process.alive()) {
+            return;
+        }
+        ending = true;
+        log.add(party(), "SIGKILL");
+        callers.killed();
+        process.kill();
+        startAgainSoon();
+    }
+
+    private void startAgainSoon() {
+        loop.at(loop.now() + DOWN_TIME, () -> {
+            if (!over) {
+                callers.startedAgain();
+                start();
+            }
+        });
+    }
+
+    /** The directory moves, the configuration says so, and SIGHUP is sent. */
+    void reload() {
+        if (ending || !process.alive() || !callers.ready()) {
+            return;
+        }
+        try {
+            directory.move();
+            process.configure(settings(), random.nextLong() & Long.MAX_VALUE, port, directory.port(),
+                    directory.list());
+            log.add(party(), "SIGHUP, the directory moves to port " + directory.port());
+            new ProcessBuilder("kill", "-HUP", Long.toString(process.process().pid())).start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        int told = directory.serial();
+        loop.at(loop.now() + TOLD_AFTER_RELOAD, () -> judge.listTold(number, told));
+    }
+
+    /** The list of its directory has changed; it counts as told when it was, or some seconds later. */
+    void listChanged(String uid, boolean away) {
+        int serial = directory.serial();
+        judge.listChanged(number, serial, uid, away);
+        loop.at(loop.now() + TOLD_AT_LATEST, () -> judge.listTold(number, serial));
+    }
+
+    // The process as the platform sees it.
+
+    private void watch(Process watched) {
+        loop.at(loop.now() + WATCH_EVERY, () -> {
+            if (watched != process.process()) {
+                return;
+            }
+            if (!watched.isAlive()) {
+                if (!ending) {
+                    judge.processBroken(number, "crashed with exit code " + watched.exitValue());
+                    ending = true;
+                    callers.killed();
+                    startAgainSoon();
+                } else if (watched.exitValue() != 0 && watched.exitValue() != 137) {
+                    judge.processBroken(number, "ended with exit code " + watched.exitValue());
+                }
+                return;
+            }
+            measure(watched.pid());
+            if (!ending && !reportedUnready && !callers.ready() && loop.now() > startedAt + READY_WITHIN) {
+                reportedUnready = true;
+                judge.processBroken(number, "not ready 10 s after its start");
+            }
+            watch(watched);
+        });
+    }
+
+    private void measure(long pid) {
+        try (Stream<Path> descriptors = Files.list(Path.of("/proc", Long.toString(pid), "fd"))) {
+            mostDescriptors = Math.max(mostDescriptors, (int) descriptors.count());
+        } catch (IOException e) {
+            // It has just ended; the next look finds that out.
+            return;
+        }
+        residentMb(pid).ifPresent(mb -> mostMemoryMb = Math.max(mostMemoryMb, mb));
+    }
+
+    private static Optional<Integer> residentMb(long pid) {
+        try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(pid), "status"))) {
+            return lines.filter(line -> line.startsWith("VmRSS:"))
+                    .map(line -> Integer.parseInt(line.replaceAll("[^0-9]", "")) / 1_024).findFirst();
+        } catch (IOException | UncheckedIOException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Compares what was measured with the limits. */
+    void checkLimits() {
+        if (mostDescriptors > deployment.sockets()) {
+            judge.processBroken(number, "held " + mostDescriptors + " descriptors of " + deployment.sockets());
+        }
+        if (mostMemoryMb > deployment.heapMb() + MB_BESIDE_HEAP) {
+            judge.processBroken(number, "held " + mostMemoryMb + " MB with a heap of " + deployment.heapMb());
+        }
+    }
+
+    int mostMemoryMb() {
+        return mostMemoryMb;
+    }
+
+    int mostDescriptors() {
+        return mostDescriptors;
+    }
+
+    /** SIGTERM for good, at the end of a trial. */
+    void shutDown() {
+        over = true;
+        terminate();
+    }
+
+    /** Waits for the end after SIGTERM, until SIGKILL may come; not on the loop. Whether it has ended by then. */
+    boolean awaitEnd() throws InterruptedException {
+        return process.process().waitFor(longestEnd(), TimeUnit.MICROSECONDS);
+    }
+
+    /** It had not ended when SIGKILL came. */
+    void endedTooLate() {
+        judge.processBroken(number, "had not ended when SIGKILL came");
+        process.kill();
+    }
+
+    /** Kills what may be left; from any thread. */
+    void destroy() {
+        if (process.alive()) {
+            process.kill();
+        }
+    }
+
+    /** Ends its stand-ins. */
+    void close() {
+        callers.close();
+        directory.close();
+    }
+
+    Path logFile() {
+        return process.log();
+    }
+}
--- /dev/null
+++ b/src/test/java/wingspread/testing/KnownRedTest.java
@@ -0,0 +1,78 @@
+package wingspread.testing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.platform.engine.discovery.DiscoverySelectors.selectClass;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
+import org.junit.platform.testkit.engine.EngineExecutionResults;
+import org.junit.platform.testkit.engine.EngineTestKit;
+
+/** The mechanism of the list of known failures, and the list itself. */
+class KnownRedTest {
+    private static final String SAMPLE = "wingspread.testing.KnownRedTest$Sample#";
+
+    /** Played by the engine in the test below, not by the build: the build looks at no nested class of this name. */
+    static final class Sample {
+        @RegisterExtension
+        static final KnownRedExtension LISTED = new KnownRedExtension(KnownRed.parse(List.of("# a comment", "",
+                SAMPLE + "listedAndFails, it fails, with a comma, issue 1",
+                SAMPLE + "listedAndPasses, it once failed, issue 2")));
+
+        @Test
+        void listedAndFails() {
+            Assertions.fail("as known");
+        }
+
+        @Test
+        void listedAndPasses() {
+            assertEquals(2, 1 + 1);
+        }
+
+        @Test
+        void unlistedAndFails() {
+            Assertions.fail("not known");
+        }
+
+        @Test
+        void unlistedAndPasses() {
+            assertEquals(2, 1 + 1);
+        }
+    }
+
+    @Test
+    void exactlyTheListedTestsMayFailAndOneThatPassesFailsTheBuild() {
+        EngineExecutionResults results = EngineTestKit.engine("junit-jupiter").selectors(selectClass(Sample.class))
+                .execute();
+        results.testEvents().assertStatistics(s -> s.started(4).succeeded(1).aborted(1).failed(2));
+        List<String> failed = results.testEvents().failed().map(e -> e.getTestDescriptor().getDisplayName()).sorted()
+                .toList();
+        assertEquals(List.of("listedAndPasses()", "unlistedAndFails()"), failed);
+    }
+
+    @Test
+    void aListThatIsTooLongOrUnreadableIsTurnedAway() {
+        KnownRed one = KnownRed.parse(List.of("a.B#c, it fails, with a comma, issue 1"));
+        assertEquals("it fails, with a comma", one.entries().get(0).cause());
+        assertThrows(IllegalArgumentException.class, () -> KnownRed.parse(List.of("a.B#c")));
+        assertThrows(IllegalArgumentException.class, () -> KnownRed.parse(List.of("a.B#c, a cause alone")));
+        assertThrows(IllegalArgumentException.class, () -> KnownRed.parse(List.of("everything, a cause, issue 1")));
+        assertThrows(IllegalArgumentException.class,
+                () -> KnownRed.parse(List.of("a.B#c, d, e", "a.B#d, d, e", "a.B#e, d, e", "a.B#f, d, e")));
+    }
+
+    @Test
+    void eachTestOnTheProjectsListExists() throws ClassNotFoundException {
+        for (KnownRed.Entry entry : KnownRed.ofProject().entries()) {
+            String[] parts = entry.test().split("#");
+            assertTrue(Arrays.stream(Class.forName(parts[0]).getDeclaredMethods())
+                    .anyMatch(method -> method.getName().equals(parts[1])), entry.test());
+            assertTrue(!entry.cause().isEmpty() && entry.issue().matches("issue \\d+"), entry::toString);
+        }
+    }
+}
