Find exchanges that have fallen silent under standing calls, and tell their callers within 8 s

Cause: a standing call ended only by words of others: a release, a refused connect (Event.Died), a directory entry gone or started again. Nobody asked whether an exchange that said nothing was there: Link.connected dropped connects that timed out, and no deadline stood behind a silent connection. Class: a peer's liveness taken from silence, a wait without a deadline. Change: control.ExchangeLiveness (policy, free of I/O) decides by the last message heard: after 1.5 s of silence under standing calls a fresh connection every 0.55 s, on which a live exchange speaks first; after 7.4 s and four that stayed silent its calls are over for their callers, and released toward it. core.StandingWatch keeps one per exchange with calls. Same mistake elsewhere: releases written to connections known to be silent now wait for another one; a connect refused beside a silent connection counts as the process being down; set-ups waiting are sent when a silent connection speaks again; an exchange that was replaced at its address is told by the free circuits it names first, fewer being busy than its calls hold; at a planned end calls on a silent exchange are not left to a successor that cannot know them. No assertion was dropped.

--- a/src/main/java/wingspread/core/Attempt.java
+++ b/src/main/java/wingspread/core/Attempt.java
@@ -11,6 +11,7 @@
     private final long sentAt;
     private final long deadline;
     private State state = State.OUT;
+    private long stoodAt;
 
     Attempt(Request request, long call, int index, long exchange, long sentAt, long deadline) {
         this.request = request;
@@ -56,8 +57,15 @@
         return state == State.STANDING;
     }
 
-    void stand() {
+    /** The exchange has answered it now. */
+    void stand(long now) {
         state = State.STANDING;
+        stoodAt = now;
+    }
+
+    /** When it came to stand, in microseconds; without meaning before. */
+    long stoodAt() {
+        return stoodAt;
     }
 
     void end() {
--- a/src/main/java/wingspread/core/CallLog.java
+++ b/src/main/java/wingspread/core/CallLog.java
@@ -40,6 +40,10 @@
         CALLER_RELEASED,
         /** The exchange's process is down: a connect was refused. */
         EXCHANGE_DOWN,
+        /** Nothing was heard of the exchange for several seconds, on fresh connections neither. */
+        EXCHANGE_SILENT,
+        /** The exchange speaks again after a break, and holds none of the calls that stood on it. */
+        EXCHANGE_LOST_CALLS,
         /** The directory lists the exchange no longer. */
         EXCHANGE_REMOVED,
         /** The exchange was started again after the call was set up. */
@@ -97,6 +101,12 @@
         }
     }
 
+    /** An exchange counts as down; its calls follow, a line each. */
+    void exchangeDown(long exchange, EndReason reason, long calls, long silentFor) {
+        LOG.warn("exchange={} counts as down reason={} calls={} silent-ms={}", exchange, reason, calls,
+                silentFor / 1_000);
+    }
+
     /** An exchange released a call that this program has not set up or does not know any more. */
     void unknownReleased(String call, long exchange, int cause) {
         LOG.info("{} unknown, released by exchange={} cause={}", call, exchange, cause);
--- a/src/main/java/wingspread/core/Event.java
+++ b/src/main/java/wingspread/core/Event.java
@@ -34,8 +34,24 @@
     /** The processor of an exchange has died: the calls through it are cut. */
     record Died(long exchange) implements Event { }
 
-    /** The free circuits toward an exchange have changed. */
-    record Reported(long exchange, Report report) implements Event { }
+    /**
+     * The free circuits toward an exchange.
+     *
+     * @param openedAt when the connection came up whose first message this is, in microseconds; {@link #UNSOLICITED}
+     *     where the exchange tells of a change
+     */
+    record Reported(long exchange, Report report, long openedAt) implements Event {
+        /** No first message of a connection. */
+        public static final long UNSOLICITED = Long.MIN_VALUE;
+
+        /** The free circuits have changed. */
+        public Reported(long exchange, Report report) {
+            this(exchange, report, UNSOLICITED);
+        }
+    }
+
+    /** An exchange has sent something that no other event tells of: it lives. */
+    record Heard(long exchange) implements Event { }
 
     /** News of the list of exchanges. */
     record Listed(ListKind kind, List<Exchange> entries) implements Event { }
--- a/src/main/java/wingspread/core/Exchanges.java
+++ b/src/main/java/wingspread/core/Exchanges.java
@@ -13,4 +13,17 @@
 
     /** Closes the idle connections to an exchange. */
     void closeIdle(long exchange);
+
+    /** Whether an exchange may be gone without a word; not so in a model that tells of every end. */
+    default boolean mayFallSilent() {
+        return true;
+    }
+
+    /**
+     * Opens a fresh connection to an exchange that has been silent for a while; whatever comes on it, or on another,
+     * returns as an event.
+     *
+     * @return false where none can be opened now for reasons of this side
+     */
+    boolean check(long exchange);
 }
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wingspread.control.CallControl;
@@ -21,6 +22,7 @@
 import wingspread.control.CallControl.Report;
 import wingspread.control.CallControl.Settings;
 import wingspread.control.CallControl.Status;
+import wingspread.control.ExchangeLiveness;
 import wingspread.control.Figures;
 import wingspread.control.WindowControl;
 import wingspread.core.CallLog.AnswerReason;
@@ -42,6 +44,8 @@
     public static final int CUT = 41;
     private static final Logger LOG = LoggerFactory.getLogger(Planner.class);
     private static final long NO_NUMBER = 0;
+    /** An exchange that has lost no call says its releases by then, after the first words of a connection. */
+    private static final long RELEASES_FOLLOW = 500_000;
     private static final int MOST_ENDED = 8_192;
     /** Bytes of descriptions that are kept at a time, a share of the heap. */
     private static final long MOST_DESCRIPTIONS = 16 << 20;
@@ -61,6 +65,7 @@
     private final Deadlines deadlines = new Deadlines();
     private final Map<String, Held> byId = new LinkedHashMap<>();
     private final Map<Long, Held> byNumber = new HashMap<>();
+    private final StandingWatch watch;
     /** When each exchange that is listed was started. */
     private final Map<Long, Long> started = new HashMap<>();
     /** Ids of the calls that have ended last, oldest first. */
@@ -117,6 +122,8 @@
         this.strangers = strangers;
         this.metrics = metrics;
         this.mostCalls = mostCalls;
+        this.watch = new StandingWatch(clock, deadlines, exchanges,
+                (exchange, silence) -> actions.add(() -> silent(exchange, silence)));
         this.control = new WindowControl(clock.getAsLong(), settings, figures, seed, this);
     }
 
@@ -151,6 +158,7 @@
      */
     public void answerBy(long latest) {
         lastAnswer = Math.min(lastAnswer, latest);
+        watch.hurry();
         for (Held held : byId.values()) {
             if (!held.answered && held.request.deadline() > lastAnswer) {
                 deadlines.add(lastAnswer, () -> actions.add(() -> overdue(held)));
@@ -169,12 +177,15 @@
     }
 
     /**
-     * Ends what would end with the program: set-ups, and standing calls whose callers no successor could tell. The
-     * others stand on; the exchanges' releases find their callers through the program that is started next.
+     * Ends what would end with the program: set-ups, and standing calls whose callers no successor could tell, also
+     * since their exchange is silent and may never release them. The others stand on; the exchanges' releases find
+     * their callers through the program that is started next.
      */
     public void handOver() {
+        long now = clock.getAsLong();
         for (Held held : List.copyOf(byId.values())) {
-            if (held.standing() && !held.caller.outlivesRestart()) {
+            if (held.standing()
+                    && (!held.caller.outlivesRestart() || watch.suspect(now, held.last().exchange()))) {
                 exchanges.release(held.last().exchange(), held.request.id(), CUT);
                 finish(clock.getAsLong(), held, Status.CANCELLED, Report.NOTHING, CUT, EndReason.PLANNED_END);
             } else if (held.out()) {
@@ -188,6 +199,7 @@
     // Events.
 
     private void handle(long now, Event event) {
+        hear(now, event);
         if (event instanceof Event.Offered e) {
             offered(now, e.request(), e.caller());
         } else if (event instanceof Event.GivenUp e) {
@@ -210,6 +222,9 @@
         } else if (event instanceof Event.Died e) {
             cutAll(now, e.exchange(), Long.MAX_VALUE, EndReason.EXCHANGE_DOWN);
         } else if (event instanceof Event.Reported e) {
+            if (e.openedAt() != Event.Reported.UNSOLICITED && watch.watches(e.exchange())) {
+                deadlines.add(now + RELEASES_FOLLOW, () -> actions.add(() -> audit(e)));
+            }
             if (storms != null) {
                 storms.reported(now, e.exchange(), e.report());
             }
@@ -219,6 +234,21 @@
         }
     }
 
+    /** Whatever an exchange sends shows that it lives. */
+    private void hear(long now, Event event) {
+        if (event instanceof Event.Heard e) {
+            watch.heard(now, e.exchange());
+        } else if (event instanceof Event.Answered e) {
+            watch.heard(now, e.exchange());
+        } else if (event instanceof Event.Rejected e) {
+            watch.heard(now, e.exchange());
+        } else if (event instanceof Event.Released e) {
+            watch.heard(now, e.exchange());
+        } else if (event instanceof Event.Reported e) {
+            watch.heard(now, e.exchange());
+        }
+    }
+
     private void offered(long now, Request asked, Caller caller) {
         Request request = asked.by(lastAnswer);
         metrics.count("taken.calls");
@@ -293,6 +323,7 @@
             metrics.count("taken.releases");
             exchanges.release(held.last().exchange(), id, cause);
             held.last().end();
+            watch.over(held.last().exchange());
             log.over(held.last(), EndReason.CALLER_RELEASED, cause);
             outcome(now, held, held.last(), Status.CANCELLED, Cause.NONE, Report.NOTHING);
             forgetIfDone(held);
@@ -338,7 +369,8 @@
             }
             return;
         }
-        attempt.stand();
+        attempt.stand(now);
+        watch.stood(now, attempt.exchange());
         log.stood(attempt, now);
         control.onStood(now, held.number, attempt.index(), attempt.exchange(), now - attempt.sentAt());
         if (held.seen != null) {
@@ -389,11 +421,42 @@
 
     /** Ends the calls that stood through an exchange and were sent before it last started. */
     private void cutAll(long now, long exchange, long sentBefore, EndReason reason) {
-        for (Held held : List.copyOf(byId.values())) {
-            Attempt last = held.last();
-            if (held.standing() && last.exchange() == exchange && last.sentAt() < sentBefore) {
-                finish(now, held, Status.RESET, Report.NOTHING, CUT, reason);
-            }
+        for (Held held : standingThrough(exchange, attempt -> attempt.sentAt() < sentBefore)) {
+            finish(now, held, Status.RESET, Report.NOTHING, CUT, reason);
+        }
+    }
+
+    private List<Held> standingThrough(long exchange, Predicate<Attempt> which) {
+        return byId.values().stream().filter(held -> held.standing() && held.last().exchange() == exchange
+                && which.test(held.last())).toList();
+    }
+
+    /** An exchange has been silent for too long: its calls are over for their callers, and for it if it lives. */
+    private void silent(long exchange, long silence) {
+        giveUp(exchange, EndReason.EXCHANGE_SILENT, silence, attempt -> true);
+    }
+
+    /** Holds what an exchange said first on a connection against its calls; its releases have had their time since. */
+    private void audit(Event.Reported first) {
+        Predicate<Attempt> before = attempt -> attempt.stoodAt() < first.openedAt();
+        double width = standingThrough(first.exchange(), before).stream().mapToDouble(h -> h.request.width()).sum();
+        if (ExchangeLiveness.lacksCalls(first.report(), width)) {
+            giveUp(first.exchange(), EndReason.EXCHANGE_LOST_CALLS, 0, before);
+        }
+    }
+
+    private void giveUp(long exchange, EndReason reason, long silence, Predicate<Attempt> which) {
+        long now = clock.getAsLong();
+        List<Held> calls = standingThrough(exchange, which);
+        if (calls.isEmpty()) {
+            return;
+        }
+        metrics.count("exchanges.down." + reason);
+        log.exchangeDown(exchange, reason, calls.size(), silence);
+        for (Held held : calls) {
+            // Should the exchange be there after all, it must not keep the circuits.
+            exchanges.release(exchange, held.request.id(), CUT);
+            finish(now, held, Status.RESET, Report.NOTHING, CUT, reason);
         }
     }
 
@@ -401,6 +464,7 @@
     private void finish(long now, Held held, Status status, Report report, int cause, EndReason reason) {
         Attempt attempt = held.last();
         attempt.end();
+        watch.over(attempt.exchange());
         metrics.count(cause == NORMAL ? "answered.over" : "answered.cut");
         log.over(attempt, reason, cause);
         held.caller.over(cause);
--- a/src/main/java/wingspread/lab/host/LocalSoftswitches.java
+++ b/src/main/java/wingspread/lab/host/LocalSoftswitches.java
@@ -114,6 +114,16 @@
         public void closeIdle(long exchange) {
             // The model has no connections.
         }
+
+        @Override
+        public boolean mayFallSilent() {
+            return false;
+        }
+
+        @Override
+        public boolean check(long exchange) {
+            return false;
+        }
     }
 
     /** The caller's side of a call. */
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
@@ -17,7 +18,6 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import wingspread.control.CallControl.Cause;
 import wingspread.control.CallControl.Readiness;
 import wingspread.control.CallControl.Report;
 import wingspread.control.CallControl.Status;
@@ -42,6 +42,9 @@
     /** A connect takes one round trip; what is said first on a connection should come in as much. */
     private static final int SILENCES = 3;
     private static final long LEAST_SILENCE = 50_000;
+    /** Connections may come up late, by up to a second; the next check may begin meanwhile. */
+    private static final long LONGEST_CHECK = 1_100_000;
+    private static final int MOST_CHECKS = 3;
     private static final int MOST_WAITING = 256;
     private static final int MOST_RELEASES = 4_096;
 
@@ -58,16 +61,17 @@
     private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
     private final ArrayDeque<SipMessage> unsentReleases = new ArrayDeque<>();
     private boolean connecting;
+    /** Connections that come up for {@link #check}. */
+    private int checks;
     private boolean retrying;
     private boolean closed;
     private boolean tried;
     private boolean told;
     private long usedAt;
-    private long connectingSince;
     /** Microseconds that the last connection took to come up. */
     private long tookToConnect;
     private final Backoff backoff;
-    private long branches;
+    private final ExchangeMessages messages = new ExchangeMessages();
 
     /** What is known of one connection. */
     private static final class Open {
@@ -163,30 +167,8 @@
     private void send(Channel channel, Attempt attempt) {
         open.get(channel).setUps.put(attempt.request().id(), attempt);
         usedAt = loop.now();
-        long left = (attempt.deadline() - loop.now()) / 1_000;
         metrics.count("sent.INVITE");
-        write(channel, request("INVITE", attempt).with("X-Tier", attempt.request().className())
-                .with("X-Deadline", Long.toString(Math.max(1, left)))
-                .withBody(attempt.request().description()));
-    }
-
-    private SipMessage request(String method, Attempt attempt) {
-        return dialog(method, attempt.request().number(), attempt.request().id(), attempt.index() + 1L,
-                branch(attempt));
-    }
-
-    private static String branch(Attempt attempt) {
-        return "z9hG4bK" + attempt.request().id() + "-" + attempt.index();
-    }
-
-    private static SipMessage dialog(String method, String called, String call, long cseq, String branch) {
-        return SipMessage.request(method, "sip:" + called + "@net")
-                .with("Via", "SIP/2.0/TCP wingspread;branch=" + branch)
-                .with("Max-Forwards", "70")
-                .with("From", "<sip:wingspread@net>;tag=" + call)
-                .with("To", "<sip:" + called + "@net>")
-                .with("Call-ID", call)
-                .with("CSeq", cseq + " " + method);
+        write(channel, messages.invite(attempt, attempt.deadline() - loop.now()));
     }
 
     void withdraw(Attempt attempt) {
@@ -197,7 +179,7 @@
             Open connection = entry.getValue();
             if (connection.setUps.remove(attempt.request().id(), attempt)) {
                 metrics.count("sent.CANCEL");
-                write(entry.getKey(), request("CANCEL", attempt));
+                write(entry.getKey(), messages.cancel(attempt));
                 replaceIfSilent(connection, attempt);
                 return;
             }
@@ -219,12 +201,14 @@
         }
     }
 
-    /** Releases a call; guards against a lost release, which would hold circuits: it waits for a connection. */
+    /**
+     * Releases a call. Guards against a lost release, which would hold circuits: where no connection is there, or only
+     * such as have fallen silent, it waits for one.
+     */
     void release(String call, int cause) {
-        SipMessage bye = dialog("BYE", "call", call, 1_000, "z9hG4bK" + call + "-bye" + branches++)
-                .with("Reason", "Q.850;cause=" + cause);
+        SipMessage bye = messages.bye(call, cause);
         metrics.count("sent.BYE");
-        Channel channel = anyOpen();
+        Channel channel = best();
         if (channel != null) {
             write(channel, bye);
         } else if (!closed && unsentReleases.size() < MOST_RELEASES) {
@@ -246,14 +230,6 @@
         return best;
     }
 
-    private Channel anyOpen() {
-        Channel best = best();
-        if (best != null) {
-            return best;
-        }
-        return open.keySet().stream().filter(Channel::isActive).findFirst().orElse(null);
-    }
-
     private void connect() {
         if (connecting || closed || open.size() >= MOST_CONNECTIONS) {
             return;
@@ -267,11 +243,46 @@
             return;
         }
         connecting = true;
-        connectingSince = loop.now();
+        long since = loop.now();
         metrics.count("sent.connects");
+        open(connectTimeout, f -> {
+            connecting = false;
+            connected(f, since);
+        });
+    }
+
+    /**
+     * Opens a connection beside those that are there, since nothing has come on them for a while: a live exchange speaks
+     * first on each new one. It may come up later than others may, and takes the place of the oldest idle one, which
+     * is closed before: what the exchange said on that at the same time it says again on the next.
+     *
+     * @return false where none can be opened now
+     */
+    boolean check() {
+        if (closed || checks >= MOST_CHECKS) {
+            return false;
+        }
+        if (open.size() > 1) {
+            open.entrySet().stream().filter(e -> e.getValue().setUps.isEmpty()).map(Map.Entry::getKey).findFirst()
+                    .ifPresent(channel -> MessageHandler.close(channel, CloseReason.REPLACED));
+        }
+        if (open.size() >= MOST_CONNECTIONS || !all.enters(true)) {
+            return false;
+        }
+        checks++;
+        long since = loop.now();
+        metrics.count("sent.checks");
+        open(Math.max(connectTimeout, LONGEST_CHECK), f -> {
+            checks--;
+            connected(f, since);
+        });
+        return true;
+    }
+
+    private void open(long timeout, ChannelFutureListener whenDone) {
         new Bootstrap().group(loop.group()).channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeout / 1_000))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, timeout / 1_000))
                 .handler(new ChannelInitializer<NioSocketChannel>() {
                     @Override
                     protected void initChannel(NioSocketChannel channel) {
@@ -280,24 +291,32 @@
                     }
                 })
                 .connect(endpoint)
-                .addListener((ChannelFuture f) -> connected(f));
+                .addListener(whenDone);
+    }
+
+    private void notConnected(Throwable cause) {
+        all.left();
+        tried = true;
+        CloseReason reason = cause instanceof ConnectTimeoutException ? CloseReason.CONNECT_TIMEOUT
+                : cause instanceof ConnectException ? CloseReason.REFUSED : CloseReason.RESET;
+        LOG.info("exchange {} {} ended {}", number, endpoint, reason);
+        Channel best = best();
+        if (best != null) {
+            sendWaiting(best);
+            return;
+        }
+        failWaiting();
+        if (reason == CloseReason.REFUSED) {
+            // A refused connection proves that the process is down: what stood through it is cut. One that is reset or
+            // does not come up proves nothing of the kind; nor does a connection that has fallen silent that it is up.
+            events.accept(new Event.Died(number));
+        }
+        retryLater();
     }
 
-    private void connected(ChannelFuture f) {
-        connecting = false;
+    private void connected(ChannelFuture f, long since) {
         if (!f.isSuccess()) {
-            all.left();
-            tried = true;
-            CloseReason reason = f.cause() instanceof ConnectTimeoutException ? CloseReason.CONNECT_TIMEOUT
-                    : f.cause() instanceof ConnectException ? CloseReason.REFUSED : CloseReason.RESET;
-            LOG.info("exchange {} {} ended {}", number, endpoint, reason);
-            failWaiting();
-            if (reason == CloseReason.REFUSED && open.isEmpty()) {
-                // A refused connection proves that the process is down: what stood through it is cut. One that
-                // is reset or does not come up proves nothing of the kind.
-                events.accept(new Event.Died(number));
-            }
-            retryLater();
+            notConnected(f.cause());
             return;
         }
         if (closed) {
@@ -305,7 +324,7 @@
             f.channel().close();
             return;
         }
-        tookToConnect = loop.now() - connectingSince;
+        tookToConnect = loop.now() - since;
         for (Map.Entry<Channel, Open> old : List.copyOf(open.entrySet())) {
             if (old.getValue().silent) {
                 MessageHandler.close(old.getKey(), CloseReason.SILENT);
@@ -314,20 +333,29 @@
         open.put(f.channel(), new Open(loop.now()));
         LOG.info("exchange {} {} connected in {} ms, {} open, {} set-ups wait", number, endpoint,
                 tookToConnect / 1_000, open.size(), waiting.size());
-        while (!unsentReleases.isEmpty()) {
-            write(f.channel(), unsentReleases.remove());
-        }
+        sendReleases(f.channel());
+        sendWaiting(f.channel());
+    }
+
+    /** Sends what has waited for a connection. */
+    private void sendWaiting(Channel channel) {
         while (!waiting.isEmpty()) {
             Attempt attempt = waiting.remove();
             // Guards the drain rule: the list may have changed while the connection was coming up.
             if (readiness != Readiness.READY) {
                 events.accept(new Event.Broken(attempt, Status.CONNECT_FAILED));
             } else if (attempt.out()) {
-                send(f.channel(), attempt);
+                send(channel, attempt);
             }
         }
     }
 
+    private void sendReleases(Channel channel) {
+        while (!unsentReleases.isEmpty()) {
+            write(channel, unsentReleases.remove());
+        }
+    }
+
     private void failWaiting() {
         while (!waiting.isEmpty()) {
             events.accept(new Event.Broken(waiting.remove(), Status.CONNECT_FAILED));
@@ -384,12 +412,15 @@
         if (connection == null) {
             return;
         }
+        boolean first = !connection.heard;
         connection.heardAt = loop.now();
         connection.silent = false;
-        if (!connection.heard) {
+        if (first) {
             connection.heard = true;
             backoff.reset();
         }
+        sendReleases(channel);
+        sendWaiting(channel);
         if (!message.isRequest()) {
             response(channel, connection, message);
             return;
@@ -398,59 +429,36 @@
         switch (message.method()) {
             case "NOTIFY" -> {
                 told = true;
-                events.accept(new Event.Reported(number, report));
+                events.accept(new Event.Reported(number, report,
+                        first ? connection.upAt : Event.Reported.UNSOLICITED));
             }
             case "BYE" -> {
                 write(channel, message.reply(200, "OK"));
-                events.accept(new Event.Released(number, message.callId(), cause(message), report));
+                events.accept(new Event.Released(number, message.callId(), ExchangeMessages.releaseCause(message),
+                        report));
+            }
+            case "ACK" -> events.accept(new Event.Heard(number));
+            default -> {
+                events.accept(new Event.Heard(number));
+                write(channel, message.reply(405, "Method Not Allowed"));
             }
-            case "ACK" -> { }
-            default -> write(channel, message.reply(405, "Method Not Allowed"));
         }
     }
 
-    private static int cause(SipMessage message) {
-        String cause = SipMessage.parameter(message.header("Reason"), "cause");
-        return cause == null ? 16 : (int) Math.max(0, SipMessage.number(cause));
-    }
-
     private void response(Channel channel, Open connection, SipMessage message) {
         if (!message.cseqMethod().equals("INVITE") || message.status() < 200) {
+            events.accept(new Event.Heard(number));
             return;
         }
         String call = message.callId();
         Attempt attempt = connection.setUps.remove(call);
         metrics.count("taken." + message.status());
-        String called = attempt == null ? "call" : attempt.request().number();
-        SipMessage ack = dialog("ACK", called, call, message.cseq(),
-                attempt == null ? "z9hG4bK" + call + "-ack" + branches++ : branch(attempt));
-        write(channel, ack);
+        write(channel, messages.ack(message, attempt));
         if (message.status() < 300) {
             events.accept(new Event.Answered(number, call, message.body()));
         } else {
-            events.accept(new Event.Rejected(number, call, status(message.status()),
-                    cause(message.header("X-Outcome")), Gauges.parse(message.header("X-Gauges"))));
+            events.accept(new Event.Rejected(number, call, ExchangeMessages.status(message.status()),
+                    ExchangeMessages.outcome(message.header("X-Outcome")), Gauges.parse(message.header("X-Gauges"))));
         }
     }
-
-    private static Status status(int code) {
-        return switch (code) {
-            case 503 -> Status.FULL;
-            case 480 -> Status.MOOT;
-            case 504 -> Status.RESET;
-            case 487 -> Status.CANCELLED;
-            default -> Status.ERROR;
-        };
-    }
-
-    private static Cause cause(String note) {
-        return switch (note) {
-            case "blocked" -> Cause.NO_CIRCUIT;
-            case "bounced" -> Cause.TANDEM_BLOCKED;
-            case "far_swamped" -> Cause.BEYOND_FULL;
-            case "swamped" -> Cause.PROCESSOR_FULL;
-            case "occupied" -> Cause.LINES_BUSY;
-            default -> Cause.NONE;
-        };
-    }
 }
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -151,6 +151,12 @@
         }
     }
 
+    @Override
+    public boolean check(long exchange) {
+        Link link = links.get(exchange);
+        return link != null && link.check();
+    }
+
     @Override
     public void closeIdle(long exchange) {
         Link link = links.get(exchange);
--- a/src/main/java/wingspread/net/CloseReason.java
+++ b/src/main/java/wingspread/net/CloseReason.java
@@ -22,6 +22,8 @@
     MADE_ROOM,
     /** Another connection has taken over from one that had fallen silent. */
     SILENT,
+    /** It was idle, and a fresh one was opened to see whether the other side still speaks. */
+    REPLACED,
     /** The exchange has left the directory. */
     GONE,
     /** This program is ending. */
--- a/src/test/java/wingspread/ServeTest.java
+++ b/src/test/java/wingspread/ServeTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -18,6 +19,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -47,6 +50,7 @@
     @TempDir
     Path folder;
 
+    private final BlockingQueue<Wire<SipMessage>> accepted = new LinkedBlockingQueue<>();
     private ServerSocket exchangeListener;
     private Wire<SipMessage> exchange;
     private Wire<Map<?, ?>> caller;
@@ -57,7 +61,7 @@
     @BeforeEach
     void start() throws Exception {
         exchangeListener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
-        exchangeListener.setSoTimeout(10_000);
+        greetAll();
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = free.getLocalPort();
         }
@@ -65,7 +69,6 @@
         configure("127.0.0.1:1");
         process = serve(config.toString());
         exchange = accept();
-        exchange.send(SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges", "idle:20;circuits:20").encode());
         caller = connect();
         asksUntil(caller, 1);
     }
@@ -95,8 +98,30 @@
         return builder.redirectErrorStream(true).start();
     }
 
-    private Wire<SipMessage> accept() throws IOException {
-        return new Wire<>(exchangeListener.accept(), new SipDecoder());
+    /** Accepts and greets all connections to the exchange, as exchanges do, until the listener is closed. */
+    private void greetAll() {
+        Thread acceptor = new Thread(() -> {
+            try {
+                while (true) {
+                    Wire<SipMessage> connection = new Wire<>(exchangeListener.accept(), new SipDecoder());
+                    connection.send(SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges",
+                            "idle:15;circuits:20").encode());
+                    accepted.add(connection);
+                }
+            } catch (IOException e) {
+                // The listener is closed: the exchange takes no more connections.
+                return;
+            }
+        }, "stand-in exchange");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    /** The next connection to the exchange. */
+    private Wire<SipMessage> accept() throws InterruptedException {
+        Wire<SipMessage> next = accepted.poll(10, TimeUnit.SECONDS);
+        assertNotNull(next, "no connection to the exchange");
+        return next;
     }
 
     /** Tries until the program listens; each refused connect is one try, ten seconds' worth at the most. */
@@ -254,7 +279,6 @@
         caller.send("{\"op\":\"end\",\"call\":\"unknown\",\"with\":{},\"why\":16}\n");
         exchange.send("SIP/2.0 nonsense\r\n\r\n");
         exchange = accept();
-        exchange.send(SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges", "idle:20;circuits:20").encode());
         stands(ID);
     }
 
@@ -302,9 +326,10 @@
         assertEquals(0, process.exitValue());
         assertTrue(new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
                 .contains("answered.stood=2"));
+        // What the one before has opened last.
+        accepted.clear();
         process = serve(config.toString());
         exchange = accept();
-        exchange.send(SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges", "idle:20;circuits:20").encode());
         exchange.send(bye(ID, 16).encode());
         assertEquals(200, exchange.next().status());
         caller = connect();
@@ -338,9 +363,9 @@
         Files.createDirectory(folder.resolve("deploy"));
         Files.writeString(folder.resolve("deploy/record.toml"), Files.readString(Path.of("deploy/record.toml"))
                 .replace("enabled = false", "enabled = true"));
+        accepted.clear();
         process = serve(config.toString());
         exchange = accept();
-        exchange.send(SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges", "idle:20;circuits:20").encode());
         caller = connect();
         asksUntil(caller, 1);
         offer(ID);
--- /dev/null
+++ b/src/test/java/wingspread/control/ExchangeLivenessTest.java
@@ -0,0 +1,92 @@
+package wingspread.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import wingspread.control.ExchangeLiveness.Step;
+
+/** The failure detector of one exchange, on a clock that the test moves. */
+class ExchangeLivenessTest {
+    private static final long START = 1_000_000_000;
+    /** 'within 8 s of its end' */
+    private static final long RULE = 8_000_000;
+
+    /** Carries the steps out until it says down or the time is over; when it said so, or -1. */
+    private static long downAt(ExchangeLiveness liveness, long from, long until, long lateBy) {
+        for (long now = from; now <= until; now = Math.max(now + 1_000, liveness.due(now) + lateBy)) {
+            Step step = liveness.next(now);
+            if (step == Step.DOWN) {
+                return now;
+            }
+            if (step == Step.CHECK) {
+                liveness.checked(now);
+            }
+        }
+        return -1;
+    }
+
+    /** However long after its last message it vanished, and by however much each look is late on a slow core. */
+    @Property(tries = 200, seed = "20")
+    void whoeverVanishesIsFoundDownInTimeToTellTheCallers(@ForAll @LongRange(min = 0, max = 150_000) long lateBy) {
+        long down = downAt(new ExchangeLiveness(START), START, START + 20_000_000, lateBy);
+        assertTrue(down >= START + ExchangeLiveness.SILENCE_LIMIT, "down after " + (down - START));
+        assertTrue(down <= START + RULE, "down after " + (down - START));
+    }
+
+    @Property(tries = 200, seed = "21")
+    void whoeverIsHeardOnAFreshConnectionIsNeverDown(@ForAll @LongRange(min = 0, max = 1_000_000) long answerTakes) {
+        ExchangeLiveness liveness = new ExchangeLiveness(START);
+        for (long now = START; now < START + 60_000_000; now = Math.max(now + 1_000, liveness.due(now))) {
+            assertFalse(liveness.next(now) == Step.DOWN);
+            if (liveness.next(now) == Step.CHECK) {
+                liveness.checked(now);
+                liveness.heard(now + answerTakes);
+                now += answerTakes;
+            }
+        }
+    }
+
+    @Test
+    void aPartitionOfSixSecondsCutsNothingThatWasHeardShortlyBefore() {
+        ExchangeLiveness liveness = new ExchangeLiveness(START);
+        assertEquals(-1, downAt(liveness, START, START + 7_000_000, 0));
+        liveness.heard(START + 7_000_000);
+        assertEquals(Step.WAIT, liveness.next(START + 7_500_000));
+    }
+
+    /** A host that stood still for long must not take its own silence for the exchange's. */
+    @Test
+    void silenceAloneWithoutChecksThatHadTheirTimeProvesNothing() {
+        ExchangeLiveness liveness = new ExchangeLiveness(START);
+        assertEquals(Step.CHECK, liveness.next(START + 30_000_000));
+        for (int i = 0; i < 20; i++) {
+            liveness.notChecked(START + 30_000_000 + i * ExchangeLiveness.BETWEEN_CHECKS);
+            assertFalse(liveness.next(START + 40_000_000) == Step.DOWN);
+        }
+        long later = START + 50_000_000;
+        for (int i = 0; i < ExchangeLiveness.LEAST_CHECKS; i++) {
+            liveness.checked(later);
+        }
+        assertFalse(liveness.next(later + ExchangeLiveness.CHECK_TAKES - 1) == Step.DOWN);
+        assertEquals(Step.DOWN, liveness.next(later + ExchangeLiveness.CHECK_TAKES));
+    }
+
+    @Test
+    void atTheEndOfTheProgramSilenceIsLookedIntoSooner() {
+        ExchangeLiveness liveness = new ExchangeLiveness(START);
+        assertEquals(Step.WAIT, liveness.next(START + 300_000));
+        liveness.hurry();
+        assertEquals(Step.CHECK, liveness.next(START + 300_000));
+        assertFalse(liveness.suspect(START + 300_000));
+        liveness.checked(START + 300_000);
+        assertFalse(liveness.suspect(START + 599_999));
+        assertTrue(liveness.suspect(START + 600_000));
+        liveness.heard(START + 710_000);
+        assertFalse(liveness.suspect(START + 800_000));
+    }
+}
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -31,6 +31,7 @@
     private static final byte[] DESCRIPTION = {'v', '=', '0', '\r', '\n', (byte) 0xe9};
 
     private final List<String> said = new ArrayList<>();
+    private final List<Long> checks = new ArrayList<>();
     private long lastWait;
     private long now = 1_000_000_000;
     private Planner planner;
@@ -57,6 +58,12 @@
             said.add("close " + exchange);
         }
 
+        @Override
+        public boolean check(long exchange) {
+            checks.add(exchange);
+            return true;
+        }
+
         @Override
         public void stands(byte[] description) {
             said.add("stands " + description.length);
@@ -325,6 +332,75 @@
         heard("over 41");
     }
 
+    private void passInSteps(long time) {
+        for (long until = now + time; now < until; ) {
+            pass(Math.min(until - now, Math.max(1, planner.nextDue() - now)));
+        }
+    }
+
+    @Test
+    void aSilentExchangeIsConnectedToAfreshAndItsCallsAreOverBeforeTheRulesTime() {
+        offer("a");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        said.clear();
+        passInSteps(1_000_000);
+        assertEquals(List.of(), checks);
+        passInSteps(6_000_000);
+        assertTrue(checks.size() > 5, checks::toString);
+        heard();
+        passInSteps(1_000_000);
+        heard("release a 41", "over 41");
+        int before = checks.size();
+        passInSteps(10_000_000);
+        assertEquals(before, checks.size());
+    }
+
+    @Test
+    void aSilentExchangeThatSpeaksOnAFreshConnectionKeepsItsCalls() {
+        offer("a");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        said.clear();
+        for (int i = 0; i < 20; i++) {
+            passInSteps(3_000_000);
+            play(i % 2 == 0 ? new Event.Heard(1) : new Event.Reported(1, free(19), now));
+        }
+        heard();
+        assertTrue(checks.stream().allMatch(exchange -> exchange == 1), checks::toString);
+    }
+
+    @Test
+    void anExchangeThatSpeaksAgainAndHoldsFewerCallsHasLostThem() {
+        offer("a");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        offer("b");
+        play(new Event.Answered(1, "b", DESCRIPTION));
+        said.clear();
+        // Of two calls one has ended meanwhile; its release comes with the new connection.
+        pass(1_000);
+        play(new Event.Reported(1, free(19), now));
+        play(new Event.Released(1, "a", 16, Report.NOTHING));
+        passInSteps(600_000);
+        heard("over 16");
+        play(new Event.Reported(1, free(20)));
+        passInSteps(600_000);
+        heard();
+        play(new Event.Reported(1, free(20), now));
+        passInSteps(600_000);
+        heard("release b 41", "over 41");
+    }
+
+    @Test
+    void atTheEndCallsOnASilentExchangeAreOverForTheirCallers() {
+        offer("a");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        said.clear();
+        planner.answerBy(now + 3_000_000);
+        passInSteps(700_000);
+        assertTrue(!checks.isEmpty());
+        planner.handOver();
+        heard("release a 41", "over 41");
+    }
+
     @Test
     void aRestartCutsOnlyWhatWasSentBeforeIt() {
         offer("a");
--- a/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
+++ b/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
@@ -84,6 +84,11 @@
         public void closeIdle(long exchange) {
             // Nothing is idle here.
         }
+
+        @Override
+        public boolean check(long exchange) {
+            return false;
+        }
     }
 
     /** A caller of RFC 3261: its INVITE is repeated until answered, each final answer acknowledged. */
