Let connections with standing calls stay over a planned end, and refuse new set-ups meanwhile

PlannedEnd closed no connection while any call stood, then all that owed no answer, and served new set-ups until then. Change: a step CLOSE_UNUSED before CLOSE_IDLE: what owes no answer and carries no standing call closes 0.7 s after SIGTERM, the others once their calls are over, at the latest where CLOSE_IDLE came before. From then on the planner refuses set-ups (counter answered.draining). With deadlines of 100, 300 and 1,000 ms every step derives from SIGKILL. A release whose own connection is gone goes to the connection that offered last among those that are up; it waited for the next offer where only the very last one was gone. Measured: PlannedEndTest, PlannerTest and ServeTest pass with 3 new tests. whatStandsRunsOnForAWhile names the new step in its list; its times are unchanged.

--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -180,7 +180,13 @@
                     front.stopListening();
                     lookAgain(plan);
                 }
+                case CLOSE_UNUSED -> {
+                    planner.refuseNew();
+                    front.closeUnused();
+                    lookAgain(plan);
+                }
                 case CLOSE_IDLE -> {
+                    planner.refuseNew();
                     front.closeIdle();
                     lookAgain(plan);
                 }
--- a/src/main/java/wingspread/core/PlannedEnd.java
+++ b/src/main/java/wingspread/core/PlannedEnd.java
@@ -32,10 +32,13 @@
         /** Serve on, but take no further connections: those that are in the listener's queue come first. */
         STOP_LISTENING,
         /**
-         * Serve on, and close each connection of callers that carries nothing now. Guards against a request that comes
-         * between the last look and the exit: calls in transit keep coming for as long as a connection is open, and one
-         * that crosses such a close is sent elsewhere by its caller.
+         * Refuse new set-ups, and close each connection of callers that owes no answer and carries no call that stands.
+         * The others may stay until the ends of their calls are told. Guards against a request that comes between the
+         * last look and the exit: calls in transit keep coming for as long as a connection is open, and one that
+         * crosses such a close is sent elsewhere by its caller.
          */
+        CLOSE_UNUSED,
+        /** The same, and calls that stand keep no connection open any longer: the next program tells of their ends. */
         CLOSE_IDLE,
         /** Hand over what stands and leave once what is written has gone out. */
         LEAVE
@@ -69,7 +72,7 @@
     }
 
     /**
-     * The next step: SERVE, one STOP_LISTENING, then SERVE and CLOSE_IDLE, and one LEAVE.
+     * The next step: SERVE, one STOP_LISTENING, then SERVE, CLOSE_UNUSED and CLOSE_IDLE, and one LEAVE.
      *
      * @param unanswered calls that are owed an answer, also to callers without a connection
      * @param standing calls that stand
@@ -90,9 +93,12 @@
         boolean come = now >= closedAt + REQUESTS_COME;
         boolean runOut = standing == 0 || now >= closedAt + REQUESTS_COME + RUN_ON
                 || now >= lastAnswer() - REQUESTS_COME;
-        if (!come || !runOut) {
+        if (!come) {
             return Step.SERVE;
         }
-        return connections > 0 ? Step.CLOSE_IDLE : unanswered > 0 ? Step.SERVE : Step.LEAVE;
+        if (connections > 0) {
+            return runOut ? Step.CLOSE_IDLE : Step.CLOSE_UNUSED;
+        }
+        return unanswered > 0 || !runOut ? Step.SERVE : Step.LEAVE;
     }
 }
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -74,6 +74,7 @@
     private long descriptions;
     /** No answer is given later than this; {@link Long#MAX_VALUE} until an end is planned. */
     private long lastAnswer = Long.MAX_VALUE;
+    private boolean draining;
 
     /** A call from its coming in until nothing of it is awaited. */
     private static final class Held {
@@ -166,6 +167,11 @@
         }
     }
 
+    /** From now on every call that comes in is refused at once; those that are open go on. */
+    public void refuseNew() {
+        draining = true;
+    }
+
     /** Calls that are owed an answer. */
     public long unanswered() {
         return byId.values().stream().filter(held -> !held.answered).count();
@@ -261,6 +267,12 @@
             caller.failed();
             return;
         }
+        if (draining) {
+            metrics.count("answered.draining");
+            log.answered(request.id(), "refused", AnswerReason.PLANNED_END, 0);
+            caller.refused(0);
+            return;
+        }
         // Guards against more calls than the memory can hold: refused before the module hears of them.
         if (byId.size() >= mostCalls || descriptions + request.description().length > MOST_DESCRIPTIONS) {
             metrics.count("answered.overfull");
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -13,11 +13,14 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wingspread.control.CallControl.CallClass;
@@ -63,8 +66,8 @@
     private Channel listener;
     /** Connections that have come up. */
     private long accepted;
-    /** The connection that the last call came on; null before the first. */
-    private Channel lastHeard;
+    /** The connections on which calls were offered, the one that offered last at the end. */
+    private final Set<Channel> offering = new LinkedHashSet<>();
 
     public JsonlFront(Loop loop, List<CallClass> classes, IntSupplier mostConnections, Consumer<Event> planner,
             BooleanSupplier ready, ReconnectFigures reconnects, Metrics metrics) {
@@ -118,8 +121,17 @@
 
     /** Closes the connections that owe no answer, have sent it whole and hold no part of a message. */
     public void closeIdle() {
+        closeWhere(calls -> calls.open.isEmpty());
+    }
+
+    /** The same, but those stay on which calls were set up that stand. */
+    public void closeUnused() {
+        closeWhere(calls -> calls.open.isEmpty() && calls.standing == 0);
+    }
+
+    private void closeWhere(Predicate<Calls> unused) {
         connections.entrySet().stream()
-                .filter(e -> e.getValue().open.isEmpty() && !MessageHandler.busy(e.getKey()))
+                .filter(e -> unused.test(e.getValue()) && !MessageHandler.busy(e.getKey()))
                 .map(Map.Entry::getKey).toList()
                 .forEach(c -> MessageHandler.close(c, CloseReason.SHUTDOWN));
     }
@@ -144,6 +156,7 @@
     @Override
     public void ended(Channel channel, CloseReason reason) {
         admission.ended(channel);
+        offering.remove(channel);
         Calls calls = connections.remove(channel);
         for (Leg leg : calls == null ? List.<Leg>of() : calls.open.values()) {
             post(new Event.GivenUp(leg.id, leg));
@@ -206,7 +219,8 @@
         if (connections.get(channel).open.putIfAbsent(call, leg) != null) {
             throw new BadInput("JSON lines: the id of an open call comes again");
         }
-        lastHeard = channel;
+        offering.remove(channel);
+        offering.add(channel);
         while (!unsentReleases.isEmpty()) {
             write(channel, unsentReleases.remove());
         }
@@ -275,12 +289,18 @@
     }
 
     /**
-     * Tells that a call is over whose own connection is not there: the one that offered a call last carries it, or
-     * the next that does. Guards against connections that are held and say nothing, behind which nobody may read.
+     * Tells that a call is over whose own connection is not there: of those that are up, the one that offered a call
+     * last carries it, or the next that does. Guards against connections that are held and say nothing, behind which
+     * nobody may read.
      */
     @Override
     public void over(String call, int cause) {
-        release(lastHeard, call, cause);
+        release(offeredLast(), call, cause);
+    }
+
+    /** Of the connections that are up the one that offered a call last, or null. */
+    private Channel offeredLast() {
+        return offering.stream().filter(this::up).reduce((earlier, later) -> later).orElse(null);
     }
 
     private void release(Channel channel, String call, int cause) {
@@ -357,7 +377,7 @@
         @Override
         public void over(int cause) {
             JsonlFront.this.ended(standing.get(id));
-            release(up(channel) ? channel : lastHeard, id, cause);
+            release(up(channel) ? channel : offeredLast(), id, cause);
         }
 
         /** A call of this wire belongs to no connection, nor to the program that set it up. */
--- a/src/test/java/wingspread/ServeTest.java
+++ b/src/test/java/wingspread/ServeTest.java
@@ -14,9 +14,11 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -357,6 +359,42 @@
         assertEquals(0, process.exitValue());
     }
 
+    /** Says something on each connection to the exchange that is still there. */
+    private void sayOnAll(SipMessage message) throws IOException {
+        List<Wire<SipMessage>> connections = new ArrayList<>(accepted);
+        connections.add(exchange);
+        int said = 0;
+        for (Wire<SipMessage> connection : connections) {
+            try {
+                connection.send(message.encode());
+                said++;
+            } catch (SocketException e) {
+                // The program has closed this one.
+                continue;
+            }
+        }
+        assertTrue(said > 0, "no connection to the exchange is left");
+    }
+
+    @Test
+    void aConnectionWhoseCallStandsStaysOverTheDrainUntilTheEndIsToldAndTakesNoNewCall() throws Exception {
+        stands(ID);
+        try (Wire<Map<?, ?>> unused = connect()) {
+            asksUntil(unused, 1);
+            process.toHandle().destroy();
+            assertTrue(unused.closed());
+        }
+        offer("b".repeat(16));
+        Map<?, ?> refusal = told("end");
+        assertEquals("b".repeat(16), refusal.get("call"));
+        assertEquals(42.0, refusal.get("why"));
+        sayOnAll(bye(ID, 16));
+        assertEquals(ID, told("end").get("call"));
+        assertTrue(caller.closed());
+        assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
     @Test
     void callsAreRecordedWhereTheFileUnderDeploySaysSo() throws Exception {
         process.destroyForcibly().waitFor();
--- a/src/test/java/wingspread/core/PlannedEndTest.java
+++ b/src/test/java/wingspread/core/PlannedEndTest.java
@@ -57,13 +57,24 @@
 
     @Test
     void whatStandsRunsOnForAWhile() {
-        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_IDLE 1700", "LEAVE 2000"),
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_UNUSED 700", "CLOSE_IDLE 1700", "LEAVE 2000"),
                 play(end(9_000), 10_000, 2_000));
     }
 
+    /** With short deadlines SIGKILL comes soon, and every wait is cut to what is left. */
+    @Test
+    void withShortDeadlinesEachStepComesSooner() {
+        assertEquals(List.of("STOP_LISTENING 300", "SERVE 320", "CLOSE_IDLE 500", "LEAVE 700"),
+                play(end(100), 10_000, 10_000));
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_IDLE 700", "LEAVE 900"),
+                play(end(300), 10_000, 10_000));
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_UNUSED 700", "CLOSE_IDLE 1200", "LEAVE 1600"),
+                play(end(1_000), 10_000, 10_000));
+    }
+
     @Test
     void allIsAnsweredAndLeftBeforeSigkillWhateverTheDeadlines() {
-        for (long deadline : new long[] {400, 1_500, 3_000, 4_630, 9_000}) {
+        for (long deadline : new long[] {100, 300, 400, 1_000, 1_500, 3_000, 4_630, 9_000}) {
             long kill = Math.min(3_000, deadline) + 700;
             PlannedEnd end = end(deadline);
             assertTrue(end.lastAnswer() < TERM + (kill - 200) * MS, () -> "deadline " + deadline);
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -332,6 +332,15 @@
         heard("over 41");
     }
 
+    @Test
+    void whileItDrainsNewSetUpsAreRefusedAndThoseThatAreOpenGoOn() {
+        offer("a");
+        planner.refuseNew();
+        offer("b");
+        play(new Event.Answered(1, "a", DESCRIPTION));
+        heard("invite a 1", "refused", "stands 6");
+    }
+
     private void passInSteps(long time) {
         for (long until = now + time; now < until; ) {
             pass(Math.min(until - now, Math.max(1, planner.nextDue() - now)));
