--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -170,11 +170,15 @@
 
     private void lookAgain(PlannedEnd plan) {
         loop.at(loop.now() + LOOK_EVERY, () -> {
-            switch (plan.next(loop.now(), planner.unanswered(), planner.standing(), front.connections())) {
-                case LEAVE -> {
+            switch (plan.next(loop.now(), planner.unanswered(), planner.standing(front.connections() > 0),
+                    front.connections())) {
+                case LEAVE -> leave();
+                case HAND_OVER -> {
+                    planner.refuseNew();
                     planner.handOver();
-                    loop.wantTurn();
-                    leave();
+                    loop.flush();
+                    links.close();
+                    lookAgain(plan);
                 }
                 case STOP_LISTENING -> {
                     front.stopListening();
@@ -197,8 +201,9 @@
 
     /** Exits a moment later: what was written last has gone out by then. */
     private void leave() {
-        loop.at(loop.now() + LAST_WRITES, () -> {
-            links.close();
+        // Over connections nothing can be on its way any longer where none is left.
+        long lastWrites = front.connections() == 0 && sip.isEmpty() ? 0 : LAST_WRITES;
+        loop.at(loop.now() + lastWrites, () -> {
             front.close();
             sip.ifPresent(SipService::close);
             if (recorder != null) {
--- a/src/main/java/wingspread/cli/Cli.java
+++ b/src/main/java/wingspread/cli/Cli.java
@@ -10,6 +10,7 @@
 import picocli.CommandLine.Spec;
 import wingspread.lab.host.HostException;
 import wingspread.record.Recording;
+import wingspread.testbed.soak.SoakException;
 import wingspread.toml.TomlException;
 
 /** The command line: what {@code serve} and {@code wirehost} alone do not need. */
@@ -61,7 +62,7 @@
         line.setParameterExceptionHandler((e, args) -> complain(e.getCommandLine(), e.getMessage()));
         line.setExecutionExceptionHandler((e, command, result) -> {
             if (e instanceof TomlException || e instanceof HostException
-                    || e instanceof Recording.NoRecordingException) {
+                    || e instanceof Recording.NoRecordingException || e instanceof SoakException) {
                 return complain(command, e.getMessage());
             }
             if (e instanceof IOException) {
--- a/src/main/java/wingspread/cli/TestbedCommand.java
+++ b/src/main/java/wingspread/cli/TestbedCommand.java
@@ -8,7 +8,7 @@
 /** The testbed: real softswitch processes on the loopback, in the laboratory's model. */
 @Command(name = "testbed", mixinStandardHelpOptions = true, versionProvider = Version.class,
         description = "Plays scenarios of the laboratory with real softswitch processes on the loopback.",
-        subcommands = TestbedRun.class)
+        subcommands = {TestbedRun.class, TestbedSoak.class, TestbedTimeline.class})
 final class TestbedCommand implements Runnable {
     @Spec
     private CommandSpec spec;
--- a/src/main/java/wingspread/core/PlannedEnd.java
+++ b/src/main/java/wingspread/core/PlannedEnd.java
@@ -38,15 +38,22 @@
          * crosses such a close is sent elsewhere by its caller.
          */
         CLOSE_UNUSED,
-        /** The same, and calls that stand keep no connection open any longer: the next program tells of their ends. */
+        /**
+         * Hand over what stands, and close the connections to exchanges; once, and nothing is unanswered then. Comes
+         * before the callers' last connections are closed: a release that an exchange sends later could be told to
+         * nobody, and whom the program itself has to tell of an end must still be there.
+         */
+        HAND_OVER,
+        /** The same as CLOSE_UNUSED, but calls that stand keep no connection open any longer. */
         CLOSE_IDLE,
-        /** Hand over what stands and leave once what is written has gone out. */
+        /** Leave once what is written has gone out. */
         LEAVE
     }
 
     private final long begun;
     private final long killed;
     private boolean listening = true;
+    private boolean handedOver;
     /** When the listener was closed. */
     private long closedAt;
 
@@ -72,10 +79,11 @@
     }
 
     /**
-     * The next step: SERVE, one STOP_LISTENING, then SERVE, CLOSE_UNUSED and CLOSE_IDLE, and one LEAVE.
+     * The next step: SERVE, one STOP_LISTENING, then SERVE and CLOSE_UNUSED, one HAND_OVER, then CLOSE_IDLE, and one
+     * LEAVE.
      *
      * @param unanswered calls that are owed an answer, also to callers without a connection
-     * @param standing calls that stand
+     * @param standing calls that stand, of which this program may still tell the ends
      * @param connections that callers hold
      */
     public Step next(long now, long unanswered, long standing, int connections) {
@@ -88,7 +96,7 @@
             return Step.STOP_LISTENING;
         }
         if (now >= lastExit()) {
-            return Step.LEAVE;
+            return handedOver ? Step.LEAVE : handOver();
         }
         boolean come = now >= closedAt + REQUESTS_COME;
         boolean runOut = standing == 0 || now >= closedAt + REQUESTS_COME + RUN_ON
@@ -96,9 +104,20 @@
         if (!come) {
             return Step.SERVE;
         }
-        if (connections > 0) {
-            return runOut ? Step.CLOSE_IDLE : Step.CLOSE_UNUSED;
+        if (!runOut) {
+            return connections > 0 ? Step.CLOSE_UNUSED : Step.SERVE;
+        }
+        if (unanswered > 0) {
+            return connections > 0 ? Step.CLOSE_IDLE : Step.SERVE;
         }
-        return unanswered > 0 || !runOut ? Step.SERVE : Step.LEAVE;
+        if (!handedOver) {
+            return handOver();
+        }
+        return connections > 0 ? Step.CLOSE_IDLE : Step.LEAVE;
+    }
+
+    private Step handOver() {
+        handedOver = true;
+        return Step.HAND_OVER;
     }
 }
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -177,9 +177,14 @@
         return byId.values().stream().filter(held -> !held.answered).count();
     }
 
-    /** Calls that stand. */
-    public long standing() {
-        return byId.values().stream().filter(Held::standing).count();
+    /**
+     * Calls that stand.
+     *
+     * @param connected whether callers are there who would be told of an end, also of a call that outlives this program
+     */
+    public long standing(boolean connected) {
+        return byId.values().stream()
+                .filter(held -> held.standing() && (connected || !held.caller.outlivesRestart())).count();
     }
 
     /**
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -47,6 +47,8 @@
     /** A caller sends its call with the connection; what says nothing for so long holds a descriptor for nothing. */
     private static final long LONGEST_MUTE = 2_500_000;
     private static final int MOST_RELEASES = 4_096;
+    /** Of the second within which a caller must be told of a release. */
+    private static final long LONGEST_WAIT_FOR_OFFER = 500_000;
     /** The loop reads what is ready before it plays what is due so much later. */
     private static final long LOOK_AGAIN = 1_000;
     /** Milliseconds; guards the deadline against figures that would overflow it. */
@@ -68,6 +70,8 @@
     private long accepted;
     /** The connections on which calls were offered, the one that offered last at the end. */
     private final Set<Channel> offering = new LinkedHashSet<>();
+    /** The connection on which a whole message came last; null before the first. */
+    private Channel heardLast;
 
     public JsonlFront(Loop loop, List<CallClass> classes, IntSupplier mostConnections, Consumer<Event> planner,
             BooleanSupplier ready, ReconnectFigures reconnects, Metrics metrics) {
@@ -184,6 +188,7 @@
     @Override
     public void received(Channel channel, Map<?, ?> message) throws BadInput {
         admission.heard(channel);
+        heardLast = channel;
         String call = text(message, "call");
         switch (text(message, "op")) {
             case "offer" -> offer(channel, call, message);
@@ -221,9 +226,7 @@
         }
         offering.remove(channel);
         offering.add(channel);
-        while (!unsentReleases.isEmpty()) {
-            write(channel, unsentReleases.remove());
-        }
+        sendReleases(channel);
         post(new Event.Offered(new Request(call, text(with, "class"), callClass, text(with, "key"),
                 text(message, "desc").getBytes(StandardCharsets.ISO_8859_1),
                 loop.now() + (long) (Math.min(left, LONGEST_WAIT) * 1_000), extras.get("dest").intValue(),
@@ -309,13 +312,30 @@
             CALLS.debug("{} release told to caller {}", call, channel.remoteAddress());
             write(channel, line);
         } else if (unsentReleases.size() < MOST_RELEASES) {
-            CALLS.info("{} release waits: no caller is connected", call);
+            CALLS.info("{} release waits: no caller that has offered a call is connected", call);
             unsentReleases.add(line);
+            loop.at(loop.now() + LONGEST_WAIT_FOR_OFFER, this::tellWhoeverIsThere);
         } else {
             CALLS.warn("{} release dropped: {} wait for a caller to connect", call, MOST_RELEASES);
         }
     }
 
+    /**
+     * Where nobody has offered a call for a while, releases go to the connection that was heard last, by a test say.
+     * Guards a program that was started a moment ago, to which callers have connected and offer nothing.
+     */
+    private void tellWhoeverIsThere() {
+        if (up(heardLast)) {
+            sendReleases(heardLast);
+        }
+    }
+
+    private void sendReleases(Channel channel) {
+        while (!unsentReleases.isEmpty()) {
+            write(channel, unsentReleases.remove());
+        }
+    }
+
     private boolean up(Channel channel) {
         return connections.containsKey(channel) && channel.isActive();
     }
--- a/src/main/java/wingspread/lab/rules/RuleBook.java
+++ b/src/main/java/wingspread/lab/rules/RuleBook.java
@@ -106,6 +106,11 @@
         standing.released(call, now);
     }
 
+    /** The release of a call went to a process that was killed outright before it could tell of it. */
+    public void unsent(String call) {
+        standing.unsent(call);
+    }
+
     /** The caller has heard of the end of its call, or has ended it. */
     public void toldOver(String call, long now) {
         standing.told(call, now).ifPresent(this::note);
--- a/src/main/java/wingspread/lab/rules/StandingCalls.java
+++ b/src/main/java/wingspread/lab/rules/StandingCalls.java
@@ -62,6 +62,15 @@
         }
     }
 
+    /** A release that was sent counts as not sent. */
+    void unsent(String call) {
+        Standing standing = calls.get(call);
+        if (standing != null && standing.sent) {
+            standing.sent = false;
+            standing.due = standing.overAt + AFTER_END;
+        }
+    }
+
     Optional<Late> told(String call, long now) {
         Standing standing = calls.remove(call);
         if (standing == null || now <= limit(standing)) {
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -252,9 +252,9 @@
     }
 
     /**
-     * Opens a connection beside those that are there, since nothing has come on them for a while: a live exchange speaks
-     * first on each new one. It may come up later than others may, and takes the place of the oldest idle one, which
-     * is closed before: what the exchange said on that at the same time it says again on the next.
+     * Opens a connection beside those that are there, since nothing has come on them for a while: a live exchange
+     * speaks first on each new one. It may come up later than others may, and takes the place of the oldest idle one,
+     * which is closed before: what the exchange said on that at the same time it says again on the next.
      *
      * @return false where none can be opened now
      */
--- a/src/main/java/wingspread/net/Loop.java
+++ b/src/main/java/wingspread/net/Loop.java
@@ -72,6 +72,12 @@
         }
     }
 
+    /** Flushes what was written, at once. */
+    public void flush() {
+        touched.forEach(Channel::flush);
+        touched.clear();
+    }
+
     /** Ends the loop; what is written was flushed before. */
     public void stop() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -85,8 +91,7 @@
         } finally {
             // Guards what the turn has written, should a defect break it off: Netty logs it and the loop goes on.
             playing = false;
-            touched.forEach(Channel::flush);
-            touched.clear();
+            flush();
         }
         long due = workers.stream().mapToLong(Worker::nextDue).min().orElse(Long.MAX_VALUE);
         // A turn may ask for another: then that one sets the alarm.
--- a/src/main/java/wingspread/testbed/Place.java
+++ b/src/main/java/wingspread/testbed/Place.java
@@ -19,6 +19,9 @@
  * become messages on its wires, and what it sends becomes effects, which wait until the model takes them.
  */
 final class Place {
+    /** The directory has told more by then, or tells it again, which changes nothing. */
+    private static final int FIRST_EVENT = 1;
+
     private final int place;
     private final Loop loop;
     private final Clock clock;
@@ -71,7 +74,7 @@
                 listed(listing.entries());
             }
         }
-        process.configure(start.settings(), start.seed(), port, names.port(), listed.values());
+        process.configure(start.settings(), start.seed(), port, names.port(), listed.values(), FIRST_EVENT);
         process.start();
     }
 
@@ -82,7 +85,7 @@
 
     /** Starts it again after its end, with the list as it is now; on the loop. */
     void startAgain() throws IOException {
-        process.configure(start.settings(), start.seed() + 1, port, names.port(), listed.values());
+        process.configure(start.settings(), start.seed() + 1, port, names.port(), listed.values(), FIRST_EVENT);
         process.start();
     }
 
--- a/src/main/java/wingspread/testbed/SoftswitchProcess.java
+++ b/src/main/java/wingspread/testbed/SoftswitchProcess.java
@@ -58,15 +58,15 @@
         }
     }
 
-    /** Writes what the platform would tell it. */
-    public void configure(Settings settings, long seed, int port, int namesPort, Collection<NameServer.Named> known)
-            throws IOException {
+    /** Writes what the platform would tell it; {@code rev} is the number of the event that {@code known} holds. */
+    public void configure(Settings settings, long seed, int port, int namesPort, Collection<NameServer.Named> known,
+            int rev) throws IOException {
         ObjectNode out = JSON.createObjectNode().put("name", "n" + settings.ownPlace())
                 .put("listen", "127.0.0.1:" + port).put("seed", Long.toHexString(seed))
                 .put("names", "127.0.0.1:" + namesPort);
         out.putObject("limits").put("sockets", limits.sockets());
         out.set("settings", settings(settings, known));
-        ArrayNode targets = out.putObject("known").put("rev", 1).putArray("notices").addObject().put("rev", 1)
+        ArrayNode targets = out.putObject("known").put("rev", rev).putArray("notices").addObject().put("rev", 1)
                 .putObject("pool").put("all", true).putArray("targets");
         for (NameServer.Named one : known) {
             targets.addObject().put("uid", one.uid()).put("endpoint", "127.0.0.1:" + one.port()).put("az", one.zone())
--- a/src/main/java/wingspread/testbed/soak/BadCallers.java
+++ b/src/main/java/wingspread/testbed/soak/BadCallers.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -26,7 +27,7 @@
     private static final List<String> GARBAGE = List.of("nonsense\n", "{\"op\":\"offer\"\n",
             "\u0000\u0001\u0002\n",
             "{\"op\":\"offer\",\"call\":\"1\",\"with\":{\"class\":\"none\",\"left\":\"-1\"},\"desc\":\"\"}\n",
-            "{\"op\":\"offer\",\"call\":\"2\",\"with\":{\"class\":\"c0\",\"left\":\"1e999\",\"extras\":\"dest:NaN\"}}\n",
+            "{\"op\":\"offer\",\"call\":\"2\",\"with\":{\"class\":\"c0\",\"left\":\"1e999\"}}\n",
             "{\"op\":\"end\",\"call\":\"ffffffffffffffff\",\"with\":{},\"why\":-9}\n", "x".repeat(17_000),
             "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "{\"op\":\"offer\",\"call\":\"3\",");
 
@@ -61,6 +62,19 @@
                 });
     }
 
+    /** Connects, says this, and closes with it. */
+    static void sayAndClose(Loop loop, int port, String text) {
+        new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .addListener((ChannelFuture f) -> {
+                    if (f.isSuccess()) {
+                        f.channel().writeAndFlush(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1)))
+                                .addListener(ChannelFutureListener.CLOSE);
+                    }
+                });
+    }
+
     /** Hears what it is told. */
     private static final class Listener extends ChannelInboundHandlerAdapter {
         private final TrialLog log;
--- a/src/main/java/wingspread/testbed/soak/CallerStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/CallerStandIn.java
@@ -12,10 +12,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import wingspread.json.LineDecoder;
 import wingspread.net.BadInput;
@@ -58,6 +60,9 @@
     private final List<Channel> slots = new ArrayList<>();
     private final Map<Channel, Map<String, Offer>> open = new LinkedHashMap<>();
     private final Map<Habit, Boolean> habits = new LinkedHashMap<>();
+    /** Connections on which a message is written in part: nothing else may come between. */
+    private final Set<Channel> partWritten = new HashSet<>();
+    private int toSendAgain;
     private boolean offering;
     private boolean closed;
     private boolean ready;
@@ -151,6 +156,7 @@
                         slots.set(slot, f.channel());
                         open.put(f.channel(), new LinkedHashMap<>());
                         write(f.channel(), TEST);
+                        sendAgain(f.channel());
                     } else {
                         loop.at(loop.now() + RECONNECT, () -> connect(slot));
                     }
@@ -162,8 +168,15 @@
         loop.touch(channel);
     }
 
+    private void sendAgain(Channel channel) {
+        if (offering && toSendAgain > 0) {
+            toSendAgain--;
+            offer(channel, true);
+        }
+    }
+
     private Channel anyOpen() {
-        List<Channel> up = open.keySet().stream().filter(Channel::isActive).toList();
+        List<Channel> up = open.keySet().stream().filter(c -> c.isActive() && !partWritten.contains(c)).toList();
         return up.isEmpty() ? null : up.get(random.nextInt(up.size()));
     }
 
@@ -187,11 +200,10 @@
         } else if (killed && offer.writtenAt() <= terminatedAt + 700_000) {
             judge.excused(offer.id(), Excuse.KILLED_AT_PLANNED_END);
         } else if (!offer.again() && now - offer.writtenAt() <= CROSSING) {
-            // Its caller sends it again, once, on a new connection; here that is another call, with an id of its own.
+            // Its caller sends it again, once, on a new connection; here that is another call, with an id of its own,
+            // once a connection has come up.
             judge.excused(offer.id(), Excuse.CROSSED_A_CLOSE);
-            if (offering) {
-                offer(true);
-            }
+            toSendAgain++;
         } else {
             judge.lost(offer.id(), "its connection was closed without an answer, " + (now - offer.writtenAt()) / 1_000
                     + " ms after it was written" + (terminatedAt < now ? ", "
@@ -205,35 +217,47 @@
         if (!offering) {
             return;
         }
-        offer(false);
+        Channel channel = anyOpen();
+        if (channel != null) {
+            offer(channel, false);
+        }
+        if (faulty(Habit.SEND_AND_CLOSE)) {
+            sendAndClose();
+        }
         double gap = -Math.log(1 - random.nextDouble()) / deployment.callsPerSecond();
         loop.at(loop.now() + (long) (gap * 1_000_000), this::next);
     }
 
+    /**
+     * A caller with a connection of its own sends its request and closes, so that no answer is owed; calls of others
+     * may not stand on that connection, since a release that crosses the close would be lost by the caller's own doing.
+     */
+    private void sendAndClose() {
+        String id = newId();
+        log.add(party, id, "offers on a connection that it closes at once");
+        judge.offered(id, softswitch, loop.now() + deployment.longestDeadline(), -1);
+        judge.excused(id, Excuse.CALLER_GAVE_UP);
+        BadCallers.sayAndClose(loop, port, line(id, 0, deployment.deadlinesMs().get(0), otherPlace(), false));
+    }
+
     private boolean faulty(Habit habit) {
         return habits.getOrDefault(habit, false) && random.nextDouble() < FAULTY_SHARE;
     }
 
-    private void offer(boolean again) {
-        Channel channel = anyOpen();
-        if (channel == null) {
-            return;
-        }
-        String id = String.format(Locale.ROOT, "%016x", random.nextLong());
+    private void offer(Channel channel, boolean again) {
+        String id = newId();
         int callClass = random.nextInt(deployment.deadlinesMs().size());
         long left = (long) (deployment.deadlinesMs().get(callClass)
                 * (random.nextDouble() < SHORT_TIME_SHARE ? 0.05 + 0.25 * random.nextDouble() : 1));
-        int other = random.nextInt(deployment.exchanges() - 1);
-        int destination = other < softswitch ? other : other + 1;
+        int destination = otherPlace();
         boolean transit = deployment.exchanges() > 2 && random.nextDouble() < TRANSIT_SHARE;
-        String line = String.format(Locale.ROOT, "{\"op\":\"offer\",\"call\":\"%s\",\"with\":{\"class\":\"c%d\","
-                + "\"left\":\"%d\",\"key\":\"%016x\",\"extras\":\"dest:%d;width:1;via:%d%s\"},\"desc\":\"offer %s\"}\n",
-                id, callClass, left, random.nextLong(), destination, transit ? softswitch : -1,
-                transit ? ";transit:1" : "", id);
+        String line = line(id, callClass, left, destination, transit);
         if (faulty(Habit.SLOW_WRITER)) {
             int cut = 1 + random.nextInt(line.length() - 2);
+            partWritten.add(channel);
             channel.writeAndFlush(bytes(line.substring(0, cut)));
             loop.at(loop.now() + PIECE_PAUSE, () -> {
+                partWritten.remove(channel);
                 if (channel.isActive() && open.containsKey(channel)) {
                     written(channel, id, left, transit ? softswitch : -1, destination, line.substring(cut), again);
                 }
@@ -243,6 +267,23 @@
         }
     }
 
+    private String newId() {
+        return String.format(Locale.ROOT, "%016x", random.nextLong());
+    }
+
+    /** The place of an exchange other than the softswitch's own. */
+    private int otherPlace() {
+        int other = random.nextInt(deployment.exchanges() - 1);
+        return other < softswitch ? other : other + 1;
+    }
+
+    private String line(String id, int callClass, long leftMs, int destination, boolean transit) {
+        return String.format(Locale.ROOT, "{\"op\":\"offer\",\"call\":\"%s\",\"with\":{\"class\":\"c%d\","
+                + "\"left\":\"%d\",\"key\":\"%016x\",\"extras\":\"dest:%d;width:1;via:%d%s\"},\"desc\":\"offer %s\"}\n",
+                id, callClass, leftMs, random.nextLong(), destination, transit ? softswitch : -1,
+                transit ? ";transit:1" : "", id);
+    }
+
     private static ByteBuf bytes(String text) {
         return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
     }
@@ -256,32 +297,19 @@
         judge.offered(id, softswitch, now + leftMs * 1_000, transitFrom >= 0 ? destination : -1);
         open.get(channel).put(id, new Offer(id, now, again));
         channel.writeAndFlush(bytes(rest));
-        if (faulty(Habit.SEND_AND_CLOSE)) {
-            leave(channel, id);
-        } else if (faulty(Habit.GIVE_UP)) {
+        if (faulty(Habit.GIVE_UP)) {
             loop.at(now + (long) (leftMs * 1_000 * random.nextDouble() * 0.5), () -> giveUp(channel, id));
         } else if (faulty(Habit.REPEATED_ID)) {
             repeat(id, rest);
         }
     }
 
-    /** The caller closes its connection with the request; the others on it go with it. */
-    private void leave(Channel channel, String id) {
-        Map<String, Offer> with = open.get(channel);
-        with.keySet().forEach(other -> {
-            log.add(party, other, "leaves, its connection closes with the request of " + id);
-            judge.excused(other, Excuse.CALLER_GAVE_UP);
-        });
-        with.clear();
-        channel.close();
-    }
-
     private void giveUp(Channel channel, String id) {
         Map<String, Offer> on = open.get(channel);
         if (on != null && on.remove(id) != null) {
             log.add(party, id, "gives up");
             judge.excused(id, Excuse.CALLER_GAVE_UP);
-            channel.writeAndFlush(bytes("{\"op\":\"end\",\"call\":\"" + id + "\",\"with\":{},\"why\":16}\n"));
+            release(channel, id);
         }
     }
 
@@ -309,6 +337,15 @@
         }
     }
 
+    /** Ends a call; waits while another message is written in part. */
+    private void release(Channel channel, String id) {
+        if (partWritten.contains(channel)) {
+            loop.at(loop.now() + PIECE_PAUSE, () -> release(channel, id));
+        } else if (channel.isActive()) {
+            channel.writeAndFlush(bytes("{\"op\":\"end\",\"call\":\"" + id + "\",\"with\":{},\"why\":16}\n"));
+        }
+    }
+
     private Offer answered(Channel channel, String id) {
         Map<String, Offer> on = open.get(channel);
         return on == null ? null : on.remove(id);
@@ -318,7 +355,7 @@
         if (answered(channel, id) == null) {
             // Its caller has given up or gone: the call is released again.
             log.add(party, id, "is told that a call stands which nobody waits for");
-            channel.writeAndFlush(bytes("{\"op\":\"end\",\"call\":\"" + id + "\",\"with\":{},\"why\":16}\n"));
+            release(channel, id);
             return;
         }
         log.add(party, id, "stands");
@@ -333,7 +370,7 @@
         if (channel != null && judge.stands(id)) {
             log.add(party, id, "hangs up");
             judge.toldOver(id);
-            channel.writeAndFlush(bytes("{\"op\":\"end\",\"call\":\"" + id + "\",\"with\":{},\"why\":16}\n"));
+            release(channel, id);
         }
     }
 
--- a/src/main/java/wingspread/testbed/soak/DirectoryStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/DirectoryStandIn.java
@@ -61,6 +61,7 @@
     private Channel datagrams;
     private Channel streams;
     private int port;
+    private int toldLast;
 
     DirectoryStandIn(Loop loop, int softswitch, TrialLog log, Judge judge) throws IOException {
         this.loop = loop;
@@ -183,7 +184,10 @@
         int askedAt = port;
         loop.at(loop.now() + (mode == Mode.LATE ? lateBy : 0), () -> {
             if (whole && askedAt == port) {
-                log.add("directory of n" + softswitch, "answers with serial " + held);
+                if (held != toldLast) {
+                    toldLast = held;
+                    log.add("directory of n" + softswitch, "answers with serial " + held);
+                }
                 judge.listTold(softswitch, held);
             }
             sender.send(bytes);
--- a/src/main/java/wingspread/testbed/soak/ExchangeHost.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeHost.java
@@ -59,7 +59,8 @@
     }
 
     private void begin(boolean cold) throws IOException {
-        process = new ExchangeStandIn(loop, "s-" + place + "-" + incarnation, place, proxies, deployment,
+        String predecessor = process == null ? null : process.uid();
+        process = new ExchangeStandIn(loop, "s-" + place + "-" + incarnation, predecessor, place, proxies, deployment,
                 random.split(), log, judge, cold);
         log.add(uid(), "starts" + (cold ? ", cold" : ""));
     }
--- a/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
@@ -11,11 +11,14 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import wingspread.net.CloseReason;
 import wingspread.net.Loop;
@@ -39,6 +42,10 @@
     private static final long LEAST_ANSWER_DELAY = 3_000;
     private static final long ANSWER_DELAY = 50_000;
     private static final long LATE_ANSWER = 700_000;
+    private static final long REPORT_DELAY = 100_000;
+    /** A release that was written so shortly before its connection ended may not have been heard. */
+    private static final long CROSSING = 50_000;
+    private static final int MOST_SENT = 1_024;
     private static final double COLD_SHARE = 0.3;
     private static final long COLD = 14_000_000;
 
@@ -54,11 +61,16 @@
     /** The release of a call, for its softswitch. */
     private record Release(int softswitch, int cause) { }
 
+    /** A release that was written. */
+    private record Sent(String call, Channel channel, long at) { }
+
     /** A message that came in while the process hung. */
     private record Unread(Channel channel, SipMessage message) { }
 
     private final Loop loop;
     private final String uid;
+    /** Who had this address before; null for nobody. */
+    private final String predecessor;
     private final int place;
     /** The networks to this exchange, one for each softswitch. */
     private final List<FaultProxy> proxies;
@@ -77,18 +89,26 @@
     /** Releases that are said again on the next connection of the softswitch, by call. */
     private final Map<String, Release> toSayAgain = new LinkedHashMap<>();
     private final List<Unread> unread = new ArrayList<>();
+    private final Set<String> arrivedWhileHanging = new HashSet<>();
+    /** The last releases, in the order of their times. */
+    private final ArrayDeque<Sent> sentReleases = new ArrayDeque<>();
+    private final Set<Integer> changed = new HashSet<>();
     private State state = State.SERVING;
     private boolean spoils;
 
     /**
      * Listens at a free port for each softswitch, and lets the proxies pass on to them.
      *
+     * @param predecessor who had this address before, to whom softswitches that know no better send; null for
+     *     nobody
      * @param cold whether it has just been started, and bears less for a while
      */
-    ExchangeStandIn(Loop loop, String uid, int place, List<FaultProxy> proxies, Schedule.Deployment deployment,
-            SplittableRandom random, TrialLog log, Judge judge, boolean cold) throws IOException {
+    ExchangeStandIn(Loop loop, String uid, String predecessor, int place, List<FaultProxy> proxies,
+            Schedule.Deployment deployment, SplittableRandom random, TrialLog log, Judge judge, boolean cold)
+            throws IOException {
         this.loop = loop;
         this.uid = uid;
+        this.predecessor = predecessor;
         this.place = place;
         this.proxies = proxies;
         this.deployment = deployment;
@@ -135,7 +155,7 @@
     /** Its machine has vanished: its calls are over, and it can tell nobody. The proxy is blackholed before. */
     void vanish() {
         state = State.DEAD;
-        List.copyOf(standing.keySet()).forEach(judge::over);
+        List.copyOf(standing.keySet()).forEach(call -> judge.over(call, uid));
         standing.clear();
         setUps.clear();
     }
@@ -199,22 +219,45 @@
         if (state != State.SERVING) {
             return;
         }
-        send(channel, SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges", gauges()));
+        notifyState(channel, softswitch);
         if (!proxies.get(softswitch).reachable()) {
             return;
         }
         for (Map.Entry<String, Release> again : List.copyOf(toSayAgain.entrySet())) {
             if (again.getValue().softswitch() == softswitch) {
-                toSayAgain.remove(again.getKey());
+                if (proxies.get(softswitch).reliable()) {
+                    toSayAgain.remove(again.getKey());
+                }
                 log.add(uid, again.getKey(), "release said again");
-                judge.released(again.getKey());
+                sayReleased(softswitch, again.getKey());
                 send(channel, bye(again.getKey(), again.getValue().cause()));
             }
         }
     }
 
-    private String gauges() {
-        return "idle:" + (CIRCUITS - standing.size()) + ";circuits:" + CIRCUITS + ";backlog:" + setUps.size()
+    private void notifyState(Channel channel, int softswitch) {
+        send(channel, SipMessage.request("NOTIFY", "sip:group@net").with("X-Gauges", gauges(softswitch)));
+    }
+
+    /** The group toward a softswitch has changed: it is told soon, several changes in one. */
+    private void groupChanged(int softswitch) {
+        if (changed.add(softswitch)) {
+            loop.at(loop.now() + REPORT_DELAY, () -> {
+                changed.remove(softswitch);
+                if (state == State.SERVING) {
+                    channels.forEach((channel, of) -> {
+                        if (of == softswitch) {
+                            notifyState(channel, of);
+                        }
+                    });
+                }
+            });
+        }
+    }
+
+    private String gauges(int softswitch) {
+        long busy = standing.values().stream().filter(call -> call.softswitch() == softswitch).count();
+        return "idle:" + (CIRCUITS - busy) + ";circuits:" + CIRCUITS + ";backlog:" + setUps.size()
                 + ";max_rate:" + (long) capacity();
     }
 
@@ -237,6 +280,11 @@
     @Override
     public void ended(Channel channel, CloseReason reason) {
         channels.remove(channel);
+        List<Sent> crossed = sentReleases.stream()
+                .filter(s -> s.channel() == channel && s.at() + CROSSING >= loop.now()).toList();
+        crossed.forEach(s -> judge.unsent(s.call()));
+        unread.stream().filter(u -> u.channel() == channel && "INVITE".equals(u.message().method()))
+                .forEach(u -> judge.attemptReset(u.message().callId()));
         for (Map.Entry<String, SetUp> open : List.copyOf(setUps.entrySet())) {
             if (open.getValue().channel() == channel) {
                 setUps.remove(open.getKey());
@@ -256,6 +304,7 @@
         if (state == State.HANGING) {
             unread.add(new Unread(channel, message));
             if (message.isRequest() && message.method().equals("INVITE")) {
+                arrivedWhileHanging.add(message.callId());
                 arrived(message);
             } else if (message.isRequest() && message.method().equals("CANCEL")) {
                 judge.attemptGivenUp(message.callId());
@@ -271,6 +320,9 @@
             }
             case "BYE" -> {
                 boolean stood = standing.remove(message.callId()) != null;
+                if (stood) {
+                    groupChanged(channels.getOrDefault(channel, 0));
+                }
                 log.add(uid, message.callId(), "BYE from the softswitch" + (stood ? "" : ", the call does not stand"));
                 judge.releasedBySoftswitch(message.callId());
                 send(channel, message.reply(200, "OK"));
@@ -282,12 +334,13 @@
     private void arrived(SipMessage message) {
         log.add(uid, message.callId(), "INVITE cseq=" + message.cseq() + " deadline-ms="
                 + message.header("X-Deadline"));
-        judge.attemptArrived(message.callId(), uid, place, SipMessage.number(message.header("X-Deadline")) * 1_000,
+        judge.attemptArrived(message.callId(), uid, predecessor, place,
+                SipMessage.number(message.header("X-Deadline")) * 1_000,
                 cold && loop.now() < startedAt + COLD ? capacity() : 0);
     }
 
     private void invite(Channel channel, SipMessage message) {
-        if (!judge.attemptIsOut(message.callId(), uid)) {
+        if (!arrivedWhileHanging.remove(message.callId())) {
             arrived(message);
         }
         String call = message.callId();
@@ -312,7 +365,7 @@
             log.add(uid, call, "answers " + status);
             judge.attemptRejected(call);
             send(setUp.channel(), setUp.message().reply(status, outcome).with("X-Outcome", outcome)
-                    .with("X-Gauges", gauges()));
+                    .with("X-Gauges", gauges(channels.getOrDefault(setUp.channel(), 0))));
         }
     }
 
@@ -322,12 +375,14 @@
             return;
         }
         String description = uid + " answers " + call;
-        SipMessage answer = setUp.message().reply(200, "OK").with("X-Gauges", gauges())
+        int softswitch = channels.getOrDefault(setUp.channel(), 0);
+        SipMessage answer = setUp.message().reply(200, "OK").with("X-Gauges", gauges(softswitch))
                 .withBody(description.getBytes(StandardCharsets.ISO_8859_1));
         int spoilt = spoils ? random.nextInt(4) : -1;
         log.add(uid, call, "answers 200" + (spoilt >= 0 ? " spoilt=" + spoilt : ""));
         judge.attemptAnswered(call, uid, description);
-        standing.put(call, new Standing(channels.getOrDefault(setUp.channel(), 0), setUp.channel()));
+        standing.put(call, new Standing(softswitch, setUp.channel()));
+        groupChanged(softswitch);
         switch (spoilt) {
             case 0 -> setUp.channel().writeAndFlush(Unpooled.wrappedBuffer(
                     "SIP/2.0 2x0 ??\r\n\u0001\r\n".getBytes(StandardCharsets.ISO_8859_1)));
@@ -350,26 +405,40 @@
             release(call, NORMAL);
         } else {
             log.add(uid, call, "is over while its exchange hangs");
-            judge.over(call);
+            judge.over(call, uid);
         }
     }
 
     private void release(String id, int cause) {
         Standing call = standing.remove(id);
+        groupChanged(call.softswitch());
         toSayAgain.put(id, new Release(call.softswitch(), cause));
         Channel by = call.channel().isActive() ? call.channel() : channels.entrySet().stream()
                 .filter(c -> c.getValue() == call.softswitch() && c.getKey().isActive()).map(Map.Entry::getKey)
                 .findFirst().orElse(null);
         if (by == null || !proxies.get(call.softswitch()).reachable()) {
             log.add(uid, id, "is over, its release cannot be sent");
-            judge.over(id);
+            judge.over(id, uid);
         } else {
             log.add(uid, id, "release cause=" + cause);
-            judge.released(id);
+            sayReleased(call.softswitch(), id);
+            sentReleases.add(new Sent(id, by, loop.now()));
+            if (sentReleases.size() > MOST_SENT) {
+                sentReleases.remove();
+            }
             send(by, bye(id, cause));
         }
     }
 
+    /** A release goes out; one on a connection that is reset in the middle of messages may not have been sent whole. */
+    private void sayReleased(int softswitch, String id) {
+        if (proxies.get(softswitch).reliable()) {
+            judge.released(id, uid);
+        } else {
+            judge.over(id, uid);
+        }
+    }
+
     private static SipMessage bye(String call, int cause) {
         return SipMessage.request("BYE", "sip:call@net").with("Call-ID", call).with("CSeq", "1 BYE")
                 .with("Reason", "Q.850;cause=" + cause);
--- a/src/main/java/wingspread/testbed/soak/FaultProxy.java
+++ b/src/main/java/wingspread/testbed/soak/FaultProxy.java
@@ -16,6 +16,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -36,6 +37,8 @@
     /** Connections that the kernel completes for a listener that accepts none are one more than this. */
     private static final int BACKLOG = 16;
     private static final long PIECE_PAUSE = 2_000;
+    /** A connect to a queue with room takes no longer. */
+    private static final int FILLER_CONNECT_MS = 10;
 
     /** The softswitch's words for a set-up that it gives up. */
     private static final Pattern CANCEL = Pattern.compile("CANCEL [^\r\n]*\r\n(?:[^\r\n]+\r\n)*?Call-ID: (\\S+)");
@@ -90,9 +93,14 @@
         return port;
     }
 
-    /** Whether something sent now would arrive. */
+    /** Whether something sent now may arrive. */
     boolean reachable() {
-        return !blackholed && resetAfter == 0 && !closesEarly;
+        return !blackholed;
+    }
+
+    /** Whether what is sent now on a connection that is up arrives whole. */
+    boolean reliable() {
+        return !blackholed && resetAfter == 0;
     }
 
     private void listen() {
@@ -133,10 +141,14 @@
         listener.config().setAutoRead(false);
         // A listener whose queue is full drops further connects, as a machine does that is not there.
         for (int i = fillers.size(); i <= BACKLOG; i++) {
+            Socket filler = new Socket();
+            fillers.add(filler);
             try {
-                Socket filler = new Socket(InetAddress.getLoopbackAddress(), port);
-                fillers.add(filler);
+                filler.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), FILLER_CONNECT_MS);
                 fillerPorts.add(filler.getLocalPort());
+            } catch (SocketTimeoutException e) {
+                // Connections of softswitches wait as well: the queue is full.
+                return;
             } catch (IOException e) {
                 throw new SoakException("the proxy's queue cannot be filled: " + e.getMessage());
             }
--- a/src/main/java/wingspread/testbed/soak/Judge.java
+++ b/src/main/java/wingspread/testbed/soak/Judge.java
@@ -1,6 +1,7 @@
 package wingspread.testbed.soak;
 
 import io.netty.util.concurrent.Future;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -33,6 +34,7 @@
     private static final long DRAIN_GRACE = 500_000;
     private static final double FALL_MULTIPLE = 2;
     private static final long FALL_WINDOW = 1_000_000;
+    private static final long LATE_FOR = 300_000;
 
     /** A call that a caller has offered. */
     private static final class Call {
@@ -44,6 +46,9 @@
         String attemptAt;
         long attemptUntil;
         String description;
+        /** The exchange that has answered last; a call stands there or nowhere. */
+        String answeredBy;
+        long answeredAt = Long.MIN_VALUE;
         boolean standing;
         boolean over;
         boolean released;
@@ -66,13 +71,22 @@
     private final Map<Integer, Set<String>> informed = new HashMap<>();
     private final Map<String, Long> addresses = new LinkedHashMap<>();
     private final Map<String, Pushed> pushed = new HashMap<>();
+    /** Softswitches that were killed and not started again yet. */
+    private final Set<Integer> down = new HashSet<>();
     private final Map<Integer, Integer> processes = new HashMap<>();
     private final Map<Excuse, Integer> excused = new EnumMap<>(Excuse.class);
     private final List<String> testbedFaults = new ArrayList<>();
     private final Counts counts = new Counts();
+    private long lateUntil;
+
+    /** The stand-ins' loop did not run for a while: the order of what came meanwhile is not known. */
+    void loopWasLate() {
+        lateUntil = loop.now() + LATE_FOR;
+    }
 
     /** How much was judged. */
     static final class Counts {
+        long unjudged;
         long offered;
         long stood;
         long refused;
@@ -108,11 +122,17 @@
 
     /** Notes a stand-in that could not listen. */
     void bound(Future<?> bound) {
-        if (!bound.isSuccess()) {
+        // One that was closed before it listened was not wanted any longer.
+        if (!bound.isSuccess() && !(bound.cause() instanceof ClosedChannelException)) {
             testbedFaults.add("a stand-in cannot listen: " + bound.cause());
         }
     }
 
+    /** Something in the testbed itself has failed. */
+    void testbedFailed(String what) {
+        testbedFaults.add(what);
+    }
+
     private void excuse(Excuse excuse, String call) {
         excused.merge(excuse, 1, Integer::sum);
         log.add("judge", call, "excused: " + excuse + " (" + excuse.sentence() + ")");
@@ -123,6 +143,7 @@
     /** A process of a softswitch starts; it knows nothing of what the one before it was told. */
     void started(int softswitch, List<String> named) {
         processes.merge(softswitch, 1, Integer::sum);
+        down.remove(softswitch);
         untold.put(softswitch, new ArrayList<>());
         informed.put(softswitch, new HashSet<>(named));
         named.forEach(uid -> rules.told(softswitch, address(uid), false, loop.now()));
@@ -152,6 +173,25 @@
         }
     }
 
+    /** The process is killed outright: releases that it has heard and not told are as if they were never sent. */
+    void killed(int softswitch) {
+        down.add(softswitch);
+        calls.forEach((id, call) -> {
+            if (call.softswitch == softswitch && call.standing && call.released) {
+                unsent(id);
+            }
+        });
+    }
+
+    /** A release that was sent has not been heard, as its connection ended with it. */
+    void unsent(String id) {
+        Call call = calls.get(id);
+        if (call != null && call.standing) {
+            call.released = false;
+            rules.unsent(id);
+        }
+    }
+
     /** Something is wrong with a softswitch's process. */
     void processBroken(int softswitch, String what) {
         log.add("n" + softswitch, "PROCESS " + what);
@@ -207,7 +247,9 @@
     }
 
     private void answered(String id) {
-        rules.answered(calls.get(id).taken, loop.now());
+        Call call = calls.get(id);
+        call.answeredAt = loop.now();
+        rules.answered(call.taken, loop.now());
     }
 
     /** Whether a call stands for its caller. */
@@ -237,8 +279,13 @@
 
     // What exchanges see.
 
-    /** A set-up has arrived; {@code coldCapacity} is what a cold exchange bears a second, 0 where it is warm. */
-    void attemptArrived(String id, String uid, int place, long leftMicros, double coldCapacity) {
+    /**
+     * A set-up has arrived. Where the list of its softswitch does not name this exchange, but the one that had the
+     * address before, it was sent to that one.
+     *
+     * @param coldCapacity what a cold exchange bears a second, 0 where it is warm
+     */
+    void attemptArrived(String id, String uid, String predecessor, int place, long leftMicros, double coldCapacity) {
         counts.attempts++;
         long now = loop.now();
         Call call = calls.get(id);
@@ -246,10 +293,17 @@
             rules.sentAstray(id, -1, now);
             return;
         }
+        if (now < lateUntil && call.answeredAt > now - LATE_FOR) {
+            // The stand-ins have read late: which came first, this or the answer, cannot be told.
+            counts.unjudged++;
+            return;
+        }
         if (call.attemptAt != null && now >= call.attemptUntil) {
             end(call, Status.TIMEOUT, call.attemptUntil);
         }
-        rules.sent(call.taken, address(uid), place, now);
+        Set<String> known = informed.getOrDefault(call.softswitch, Set.of());
+        String addressee = !known.contains(uid) && known.contains(predecessor) ? predecessor : uid;
+        rules.sent(call.taken, address(addressee), place, now);
         call.attemptAt = uid;
         call.attemptUntil = now + leftMicros;
         if (coldCapacity > 0) {
@@ -269,11 +323,6 @@
         }
     }
 
-    boolean attemptIsOut(String id, String uid) {
-        Call call = calls.get(id);
-        return call != null && uid.equals(call.attemptAt);
-    }
-
     private void end(Call call, Status status, long at) {
         call.attemptAt = null;
         rules.ended(call.taken, status, at);
@@ -303,14 +352,15 @@
         Call call = calls.get(id);
         if (call != null && uid.equals(call.attemptAt)) {
             call.description = description;
+            call.answeredBy = uid;
             end(call, Status.OK, loop.now());
         }
     }
 
-    /** A call is over and no release can be sent. */
-    void over(String id) {
+    /** A call is over at an exchange, and no release can be sent. */
+    void over(String id, String uid) {
         Call call = calls.get(id);
-        if (call != null) {
+        if (call != null && uid.equals(call.answeredBy)) {
             call.over = true;
             rules.over(id, loop.now());
         }
@@ -321,10 +371,15 @@
         return calls.containsKey(id) && calls.get(id).over;
     }
 
-    /** The exchange has sent the release of a call. */
-    void released(String id) {
+    /** An exchange has sent the release of a call. */
+    void released(String id, String uid) {
         Call call = calls.get(id);
-        if (call != null) {
+        if (call == null || !uid.equals(call.answeredBy)) {
+            return;
+        }
+        if (down.contains(call.softswitch)) {
+            over(id, uid);
+        } else {
             call.over = true;
             call.released = true;
             rules.released(id, loop.now());
--- a/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
+++ b/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -38,6 +39,9 @@
     private static final long WATCH_EVERY = 100_000;
     private static final long READY_WITHIN = 10_000_000;
     private static final int CONNECTIONS = 4;
+    /** By SIGKILL, and by SIGTERM before the program hears signals: it has taken nothing by then. */
+    private static final int EXIT_KILLED = 137;
+    private static final int EXIT_TERMINATED = 143;
     /** The JVM's own memory beside its heap: code, classes, stacks, collector, and direct buffers. */
     private static final int MB_BESIDE_HEAP = 110;
 
@@ -94,19 +98,44 @@
 
     /** Starts the process with the list as it is now. */
     void start() {
-        try {
-            judge.started(number, directory.list().stream().map(Named::uid).toList());
-            process.configure(settings(), random.nextLong() & Long.MAX_VALUE, port, directory.port(),
-                    directory.list());
-            process.start();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        judge.started(number, directory.list().stream().map(Named::uid).toList());
         startedAt = loop.now();
         ending = false;
         reportedUnready = false;
-        log.add(party(), "process " + process.process().pid() + " is started");
-        watch(process.process());
+        offLoop(() -> {
+            configure();
+            process.start();
+        }, () -> {
+            log.add(party(), "process " + process.process().pid() + " is started");
+            watch(process.process());
+        });
+    }
+
+    private void configure() throws IOException {
+        process.configure(settings(), random.nextLong() & Long.MAX_VALUE, port, directory.port(), directory.list(),
+                directory.serial());
+    }
+
+    /** Something that takes longer than the stand-ins may wait. */
+    private interface Slow {
+        void run() throws IOException;
+    }
+
+    /** Does it on another thread, and then something on the loop. */
+    private void offLoop(Slow slow, Runnable then) {
+        CompletableFuture.runAsync(() -> {
+            try {
+                slow.run();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }).whenCompleteAsync((done, failure) -> {
+            if (failure == null) {
+                then.run();
+            } else {
+                judge.testbedFailed(party() + ": " + failure);
+            }
+        }, loop::execute);
     }
 
     private Settings settings() {
@@ -160,6 +189,7 @@
         ending = true;
         log.add(party(), "SIGKILL");
         callers.killed();
+        judge.killed(number);
         process.kill();
         startAgainSoon();
     }
@@ -180,15 +210,17 @@
         }
         try {
             directory.move();
-            process.configure(settings(), random.nextLong() & Long.MAX_VALUE, port, directory.port(),
-                    directory.list());
-            log.add(party(), "SIGHUP, the directory moves to port " + directory.port());
-            new ProcessBuilder("kill", "-HUP", Long.toString(process.process().pid())).start();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
         int told = directory.serial();
-        loop.at(loop.now() + TOLD_AFTER_RELOAD, () -> judge.listTold(number, told));
+        offLoop(() -> {
+            configure();
+            new ProcessBuilder("kill", "-HUP", Long.toString(process.process().pid())).start();
+        }, () -> {
+            log.add(party(), "SIGHUP, the directory moves to port " + directory.port());
+            loop.at(loop.now() + TOLD_AFTER_RELOAD, () -> judge.listTold(number, told));
+        });
     }
 
     /** The list of its directory has changed; it counts as told when it was, or some seconds later. */
@@ -211,7 +243,7 @@
                     ending = true;
                     callers.killed();
                     startAgainSoon();
-                } else if (watched.exitValue() != 0 && watched.exitValue() != 137) {
+                } else if (!List.of(0, EXIT_KILLED, EXIT_TERMINATED).contains(watched.exitValue())) {
                     judge.processBroken(number, "ended with exit code " + watched.exitValue());
                 }
                 return;
--- a/src/main/java/wingspread/testbed/soak/Trial.java
+++ b/src/main/java/wingspread/testbed/soak/Trial.java
@@ -28,7 +28,9 @@
     private static final long LONGEST_START = 15_000_000;
     /** After the last call is offered: the time in which all must be told that calls are over, and some more. */
     private static final long TAIL = 9_000_000;
-    private static final long LOOK_EVERY = 50_000_000;
+    private static final long LOOK_EVERY = 50_000;
+    private static final long TICK = 5_000;
+    private static final long LATE = 20_000;
 
     private final Schedule schedule;
     private final Path folder;
@@ -38,6 +40,7 @@
     private final Judge judge = new Judge(loop, log);
     private final List<SoftswitchHost> softswitches = new ArrayList<>();
     private final List<ExchangeHost> exchanges = new ArrayList<>();
+    private volatile boolean over;
     /** Guards the machine: where this program is ended from outside, the softswitches do not outlive it. */
     private final Thread atExit = new Thread(() -> softswitches.forEach(SoftswitchHost::destroy), "trial end");
 
@@ -47,8 +50,8 @@
      * @param testbedFaults what failed in the testbed itself; where there is any, the trial shows nothing
      */
     public record Result(Schedule schedule, Path folder, List<Breach> breaches, List<String> testbedFaults,
-            long offered, long stood, long refused, long failed, long ended, long attempts, int mostMemoryMb,
-            int mostDescriptors, Map<Excuse, Integer> excused) {
+            long offered, long stood, long refused, long failed, long ended, long attempts, long unjudged,
+            int mostMemoryMb, int mostDescriptors, Map<Excuse, Integer> excused) {
         /** Whether a rule was broken. */
         public boolean broken() {
             return !breaches.isEmpty();
@@ -85,6 +88,7 @@
             finish();
         } finally {
             softswitches.forEach(SoftswitchHost::destroy);
+            over = true;
             onLoop(() -> {
                 softswitches.forEach(SoftswitchHost::close);
                 exchanges.forEach(ExchangeHost::close);
@@ -97,7 +101,21 @@
         return result();
     }
 
+    /** Notes when the stand-ins' loop runs late. */
+    private void watchLoop() {
+        long due = loop.now() + TICK;
+        loop.at(due, () -> {
+            if (loop.now() > due + LATE) {
+                judge.loopWasLate();
+            }
+            if (!over) {
+                watchLoop();
+            }
+        });
+    }
+
     private Void prepare() {
+        watchLoop();
         SplittableRandom random = new SplittableRandom(schedule.seed());
         try {
             for (int i = 0; i < schedule.deployment().softswitches(); i++) {
@@ -135,7 +153,7 @@
         sleep(schedule.deployment().longestDeadline());
         long until = loop.now() + TAIL;
         while (loop.now() < until && onLoop(judge::owed) > 0) {
-            sleep(LOOK_EVERY / 1_000);
+            sleep(LOOK_EVERY);
         }
         onLoop(() -> {
             judge.close();
@@ -159,7 +177,7 @@
     private Result result() {
         Judge.Counts counts = judge.counts();
         return new Result(schedule, folder, judge.breaches(), List.copyOf(judge.testbedFaults()), counts.offered,
-                counts.stood, counts.refused, counts.failed, counts.ended, counts.attempts,
+                counts.stood, counts.refused, counts.failed, counts.ended, counts.attempts, counts.unjudged,
                 softswitches.stream().mapToInt(SoftswitchHost::mostMemoryMb).max().orElse(0),
                 softswitches.stream().mapToInt(SoftswitchHost::mostDescriptors).max().orElse(0),
                 new EnumMap<>(judge.excused()));
--- a/src/test/java/wingspread/core/PlannedEndTest.java
+++ b/src/test/java/wingspread/core/PlannedEndTest.java
@@ -40,36 +40,37 @@
 
     @Test
     void connectionsAndTheirRequestsAreTakenForAsLongAsThePlatformSendsThem() {
-        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "LEAVE 700"), play(end(9_000), 0, 0));
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "HAND_OVER 700", "LEAVE 720"), play(end(9_000), 0, 0));
     }
 
     @Test
     void whileCallersHoldConnectionsTheyAreServedAndNobodyLeaves() {
-        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_IDLE 700", "LEAVE 2500"),
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "HAND_OVER 700", "CLOSE_IDLE 720", "LEAVE 2500"),
                 play(end(9_000), 0, 2_500));
     }
 
     /** A caller over UDP holds no connection and is owed its answer all the same. */
     @Test
     void withoutAConnectionAnswersAreOwedToo() {
-        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "LEAVE 2000"), play(end(9_000), 2_000, 0, 0));
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "HAND_OVER 2000", "LEAVE 2020"),
+                play(end(9_000), 2_000, 0, 0));
     }
 
     @Test
     void whatStandsRunsOnForAWhile() {
-        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_UNUSED 700", "CLOSE_IDLE 1700", "LEAVE 2000"),
-                play(end(9_000), 10_000, 2_000));
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_UNUSED 700", "HAND_OVER 1700",
+                "CLOSE_IDLE 1720", "LEAVE 2000"), play(end(9_000), 10_000, 2_000));
     }
 
     /** With short deadlines SIGKILL comes soon, and every wait is cut to what is left. */
     @Test
     void withShortDeadlinesEachStepComesSooner() {
-        assertEquals(List.of("STOP_LISTENING 300", "SERVE 320", "CLOSE_IDLE 500", "LEAVE 700"),
+        assertEquals(List.of("STOP_LISTENING 300", "SERVE 320", "HAND_OVER 500", "CLOSE_IDLE 520", "LEAVE 700"),
                 play(end(100), 10_000, 10_000));
-        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_IDLE 700", "LEAVE 900"),
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "HAND_OVER 700", "CLOSE_IDLE 720", "LEAVE 900"),
                 play(end(300), 10_000, 10_000));
-        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_UNUSED 700", "CLOSE_IDLE 1200", "LEAVE 1600"),
-                play(end(1_000), 10_000, 10_000));
+        assertEquals(List.of("STOP_LISTENING 500", "SERVE 520", "CLOSE_UNUSED 700", "HAND_OVER 1200",
+                "CLOSE_IDLE 1220", "LEAVE 1600"), play(end(1_000), 10_000, 10_000));
     }
 
     @Test
