--- a/src/main/java/wingspread/testbed/SocketSoftswitches.java
+++ b/src/main/java/wingspread/testbed/SocketSoftswitches.java
@@ -81,7 +81,7 @@
             for (Start start : starts) {
                 int place = places.size();
                 Place one = new Place(place, loop, clock, new SoftswitchProcess(folder.resolve("place-" + place),
-                        storm, SoftswitchProcess.Limits.AMPLE, List.of()), connections);
+                        storm, SoftswitchProcess.Launch.AMPLE), connections);
                 one.begin(start);
                 places.add(one);
             }
--- a/src/main/java/wingspread/testbed/SoftswitchProcess.java
+++ b/src/main/java/wingspread/testbed/SoftswitchProcess.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import wingspread.control.CallControl.CallClass;
 import wingspread.control.CallControl.Readiness;
 import wingspread.control.CallControl.Settings;
@@ -27,32 +28,31 @@
             "-XX:-UsePerfData");
 
     private final Path folder;
-    private final Limits limits;
-    private final List<String> more;
+    private final Launch launch;
     private Process process;
 
     /**
-     * What the platform allows it.
+     * How it is started.
      *
      * @param heapMb megabytes of the JVM's heap
      * @param sockets descriptors, as its configuration states them
+     * @param build the program's jars and folders of classes; those of this program where it is empty
+     * @param jvmArguments further arguments of the JVM
      */
-    public record Limits(int heapMb, int sockets) {
-        /** What is ample for a run of the laboratory's model. */
-        static final Limits AMPLE = new Limits(96, 8_192);
+    public record Launch(int heapMb, int sockets, List<Path> build, List<String> jvmArguments) {
+        /** This program, with what is ample for a run of the laboratory's model. */
+        static final Launch AMPLE = new Launch(96, 8_192, List.of(), List.of());
     }
 
     /**
      * A softswitch that is not started yet.
      *
      * @param storm what stands in its {@code deploy/storm.toml}; null for no such file
-     * @param more further arguments of its JVM
      * @throws IOException where its folder cannot be written
      */
-    public SoftswitchProcess(Path folder, String storm, Limits limits, List<String> more) throws IOException {
+    public SoftswitchProcess(Path folder, String storm, Launch launch) throws IOException {
         this.folder = Files.createDirectories(folder);
-        this.limits = limits;
-        this.more = more;
+        this.launch = launch;
         if (storm != null) {
             Files.writeString(Files.createDirectories(folder.resolve("deploy")).resolve("storm.toml"), storm);
         }
@@ -64,7 +64,7 @@
         ObjectNode out = JSON.createObjectNode().put("name", "n" + settings.ownPlace())
                 .put("listen", "127.0.0.1:" + port).put("seed", Long.toHexString(seed))
                 .put("names", "127.0.0.1:" + namesPort);
-        out.putObject("limits").put("sockets", limits.sockets());
+        out.putObject("limits").put("sockets", launch.sockets());
         out.set("settings", settings(settings, known));
         ArrayNode targets = out.putObject("known").put("rev", rev).putArray("notices").addObject().put("rev", 1)
                 .putObject("pool").put("all", true).putArray("targets");
@@ -108,15 +108,21 @@
         return out;
     }
 
-    /** Starts it, with this program's own class path. */
+    /** The class path of this program. */
+    public static List<Path> ownBuild() {
+        return Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator)).map(Path::of).toList();
+    }
+
+    /** Starts it. */
     public void start() throws IOException {
-        String path = Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
-                .map(part -> Path.of(part).toAbsolutePath().toString()).collect(Collectors.joining(File.pathSeparator));
+        Stream<Path> build = launch.build().isEmpty() ? ownBuild().stream() : launch.build().stream();
+        String path = build.map(part -> part.toAbsolutePath().toString())
+                .collect(Collectors.joining(File.pathSeparator));
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(FLAGS);
-        command.add("-Xmx" + limits.heapMb() + "m");
-        command.addAll(more);
+        command.add("-Xmx" + launch.heapMb() + "m");
+        command.addAll(launch.jvmArguments());
         command.addAll(List.of("-cp", path, "wingspread.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).directory(folder.toFile());
         builder.environment().put("LB_CONFIG", folder.resolve("config.json").toString());
--- a/src/main/java/wingspread/testbed/soak/CallerStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/CallerStandIn.java
@@ -199,7 +199,7 @@
             judge.excused(offer.id(), Excuse.KILLED_OUTRIGHT);
         } else if (killed && offer.writtenAt() <= terminatedAt + 700_000) {
             judge.excused(offer.id(), Excuse.KILLED_AT_PLANNED_END);
-        } else if (!offer.again() && now - offer.writtenAt() <= CROSSING) {
+        } else if (!offer.again() && now - offer.writtenAt() <= CROSSING && !judge.wasAttempted(offer.id())) {
             // Its caller sends it again, once, on a new connection; here that is another call, with an id of its own,
             // once a connection has come up.
             judge.excused(offer.id(), Excuse.CROSSED_A_CLOSE);
--- a/src/main/java/wingspread/testbed/soak/Judge.java
+++ b/src/main/java/wingspread/testbed/soak/Judge.java
@@ -49,6 +49,7 @@
         /** The exchange that has answered last; a call stands there or nowhere. */
         String answeredBy;
         long answeredAt = Long.MIN_VALUE;
+        boolean attempted;
         boolean standing;
         boolean over;
         boolean released;
@@ -252,6 +253,11 @@
         rules.answered(call.taken, loop.now());
     }
 
+    /** Whether a set-up of the call has reached an exchange: its softswitch has read it. */
+    boolean wasAttempted(String id) {
+        return calls.get(id).attempted;
+    }
+
     /** Whether a call stands for its caller. */
     boolean stands(String id) {
         return calls.containsKey(id) && calls.get(id).standing;
@@ -304,6 +310,7 @@
         Set<String> known = informed.getOrDefault(call.softswitch, Set.of());
         String addressee = !known.contains(uid) && known.contains(predecessor) ? predecessor : uid;
         rules.sent(call.taken, address(addressee), place, now);
+        call.attempted = true;
         call.attemptAt = uid;
         call.attemptUntil = now + leftMicros;
         if (coldCapacity > 0) {
--- a/src/main/java/wingspread/testbed/soak/Soak.java
+++ b/src/main/java/wingspread/testbed/soak/Soak.java
@@ -22,9 +22,6 @@
  * made smaller; the folders of the others are removed.
  */
 public final class Soak {
-    /** Each change of a call's state is in a trial's logs. */
-    private static final String CALL_LOG = "-Dorg.slf4j.simpleLogger.log.call=debug";
-
     /**
      * What to play.
      *
@@ -32,10 +29,10 @@
      * @param only the kinds of faults; empty for all
      * @param sideBySide trials at a time
      * @param shrinkTrials trials that making one schedule smaller may take; 0 for none
-     * @param jvmArguments further arguments of the softswitches' JVMs
+     * @param build the jars and folders of classes of the softswitches' program; empty for this program
      */
     public record Plan(long from, int seeds, int seconds, Set<FaultKind> only, int sideBySide, int shrinkTrials,
-            List<String> jvmArguments) { }
+            List<Path> build) { }
 
     /**
      * What came of one seed.
@@ -98,9 +95,7 @@
     }
 
     private Trial.Result trial(Schedule schedule, Path where) throws IOException, InterruptedException {
-        List<String> arguments = new ArrayList<>(plan.jvmArguments());
-        arguments.add(CALL_LOG);
-        return new Trial(schedule, where, arguments).play();
+        return new Trial(schedule, where, plan.build()).play();
     }
 
     private Schedule smaller(Schedule schedule, Path where) throws IOException, InterruptedException {
--- a/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
+++ b/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
@@ -22,7 +22,7 @@
 import wingspread.testbed.NameServer.Named;
 import wingspread.testbed.Ports;
 import wingspread.testbed.SoftswitchProcess;
-import wingspread.testbed.SoftswitchProcess.Limits;
+import wingspread.testbed.SoftswitchProcess.Launch;
 
 /**
  * One softswitch of a trial: its process, the directory that it asks and its callers. Started, ended and killed as the
@@ -39,6 +39,8 @@
     private static final long WATCH_EVERY = 100_000;
     private static final long READY_WITHIN = 10_000_000;
     private static final int CONNECTIONS = 4;
+    /** Each change of a call's state is in the log. */
+    private static final List<String> JVM_ARGUMENTS = List.of("-Dorg.slf4j.simpleLogger.log.call=debug");
     /** By SIGKILL, and by SIGTERM before the program hears signals: it has taken nothing by then. */
     private static final int EXIT_KILLED = 137;
     private static final int EXIT_TERMINATED = 143;
@@ -63,7 +65,7 @@
     private int mostDescriptors;
     private int mostMemoryMb;
 
-    SoftswitchHost(Loop loop, int number, Schedule.Deployment deployment, Path folder, List<String> jvmArguments,
+    SoftswitchHost(Loop loop, int number, Schedule.Deployment deployment, Path folder, List<Path> build,
             SplittableRandom random, TrialLog log, Judge judge) throws IOException {
         this.loop = loop;
         this.number = number;
@@ -73,7 +75,7 @@
         this.judge = judge;
         this.port = Ports.free();
         this.process = new SoftswitchProcess(folder.resolve("n" + number), null,
-                new Limits(deployment.heapMb(), deployment.sockets()), jvmArguments);
+                new Launch(deployment.heapMb(), deployment.sockets(), build, JVM_ARGUMENTS));
         this.directory = new DirectoryStandIn(loop, number, log, judge);
         this.callers = new CallerStandIn(loop, number, port, CONNECTIONS, deployment, random.split(), log, judge);
     }
--- a/src/main/java/wingspread/testbed/soak/Trial.java
+++ b/src/main/java/wingspread/testbed/soak/Trial.java
@@ -34,7 +34,7 @@
 
     private final Schedule schedule;
     private final Path folder;
-    private final List<String> jvmArguments;
+    private final List<Path> build;
     private final Loop loop = new Loop(new UnixClock());
     private final TrialLog log = new TrialLog(loop::now);
     private final Judge judge = new Judge(loop, log);
@@ -62,12 +62,12 @@
      * A trial that has not begun.
      *
      * @param folder where its files go; it is made
-     * @param jvmArguments further arguments of the softswitches' JVMs
+     * @param build the jars and folders of classes of the softswitches' program; empty for this program
      */
-    public Trial(Schedule schedule, Path folder, List<String> jvmArguments) {
+    public Trial(Schedule schedule, Path folder, List<Path> build) {
         this.schedule = schedule;
         this.folder = folder.toAbsolutePath();
-        this.jvmArguments = jvmArguments;
+        this.build = build;
     }
 
     /** Plays it; takes as long as the schedule says and some 10 s more. */
@@ -94,9 +94,10 @@
                 exchanges.forEach(ExchangeHost::close);
                 return null;
             });
+            List<TrialLog.Entry> record = onLoop(log::entries);
             loop.stop();
             Runtime.getRuntime().removeShutdownHook(atExit);
-            log.write(folder.resolve(RECORD_FILE));
+            TrialLog.write(record, folder.resolve(RECORD_FILE));
         }
         return result();
     }
@@ -119,7 +120,7 @@
         SplittableRandom random = new SplittableRandom(schedule.seed());
         try {
             for (int i = 0; i < schedule.deployment().softswitches(); i++) {
-                softswitches.add(new SoftswitchHost(loop, i, schedule.deployment(), folder, jvmArguments,
+                softswitches.add(new SoftswitchHost(loop, i, schedule.deployment(), folder, build,
                         random.split(), log, judge));
             }
             for (int i = 0; i < schedule.deployment().exchanges(); i++) {
--- a/src/main/java/wingspread/testbed/soak/TrialLog.java
+++ b/src/main/java/wingspread/testbed/soak/TrialLog.java
@@ -41,8 +41,13 @@
         add(party, NO_CALL, what);
     }
 
-    /** Writes all lines, one each with tabs between time, party, call and event. */
-    void write(Path file) throws IOException {
+    /** All lines so far. */
+    List<Entry> entries() {
+        return List.copyOf(entries);
+    }
+
+    /** Writes lines, one each with tabs between time, party, call and event. */
+    static void write(List<Entry> entries, Path file) throws IOException {
         Files.write(file, entries.stream().map(Entry::text).toList());
     }
 
--- /dev/null
+++ b/src/test/java/wingspread/testbed/soak/PlantedFaultTest.java
@@ -0,0 +1,60 @@
+package wingspread.testbed.soak;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import wingspread.lab.rules.Breach.Rule;
+
+/** The soak bites: a fault planted in the program for each group of troubles is found by one of a few seeds. */
+class PlantedFaultTest {
+    private static final int SECONDS = 5;
+    private static final int SEEDS = 2;
+
+    @TempDir
+    Path folder;
+
+    static Stream<Arguments> plants() {
+        return Stream.of(
+                Arguments.of(new PlantedBuild("answers are dropped after SIGTERM", "core/Planner.java",
+                        "saying.run();", "if (lastAnswer == Long.MAX_VALUE) {\n            saying.run();\n        }"),
+                        Set.of(FaultKind.RESTART), Rule.ONE_ANSWER),
+                Arguments.of(new PlantedBuild("who drains counts as ready", "directory/Roster.java",
+                        "srv.priority() == 0 ? Readiness.READY : Readiness.DRAINING", "Readiness.READY"),
+                        Set.of(FaultKind.DRAIN), Rule.CLEAN_DRAIN),
+                Arguments.of(new PlantedBuild("an id that is open starts a second attempt", "core/Planner.java",
+                        "if (byId.containsKey(request.id())) {", "if (request.id().isEmpty()) {"),
+                        Set.of(FaultKind.REPEATED_ID), Rule.ONE_ATTEMPT),
+                Arguments.of(new PlantedBuild("nobody watches silent exchanges", "core/StandingWatch.java",
+                        "if (!exchanges.mayFallSilent()) {", "if (ending || !ending) {"),
+                        Set.of(FaultKind.VANISH), Rule.RELEASE_TOLD),
+                Arguments.of(new PlantedBuild("a message must come in one piece", "net/MessageHandler.java",
+                        "private static final long LONGEST_PART = 400;", "private static final long LONGEST_PART = 1;"),
+                        Set.of(FaultKind.SLOW_WRITER), Rule.ONE_ANSWER),
+                Arguments.of(new PlantedBuild("descriptors of connections that say nothing leak", "net/Admission.java",
+                        "boolean room = mute.size() + heard.size() < most.getAsInt() || makeRoom();",
+                        "boolean room = true;"),
+                        Set.of(FaultKind.CROWD), Rule.PROCESS));
+    }
+
+    @ParameterizedTest
+    @MethodSource("plants")
+    void aPlantedFaultIsFound(PlantedBuild planted, Set<FaultKind> only, Rule rule)
+            throws IOException, InterruptedException {
+        List<Path> build = planted.compile(folder);
+        Soak soak = new Soak(new Soak.Plan(1, SEEDS, SECONDS, only, SEEDS, 0, build), folder.resolve("trials"),
+                outcome -> { });
+        List<Soak.Outcome> outcomes = soak.play();
+        assertTrue(outcomes.stream().filter(o -> o.result() != null)
+                .anyMatch(o -> o.result().breaches().stream().anyMatch(breach -> breach.rule() == rule)),
+                () -> planted.name() + " was not found: "
+                        + String.join("; ", outcomes.stream().map(SoakReport::describe).toList()));
+    }
+}
