--- a/src/main/java/wingspread/directory/Roster.java
+++ b/src/main/java/wingspread/directory/Roster.java
@@ -177,6 +177,19 @@
                 && listing.exchange().readiness() == Readiness.READY;
     }
 
+    /** The types of the records that nothing was learnt of, of a host that a list has named without them. */
+    List<Integer> missing(String host) {
+        Host known = learnt.getOrDefault(host, new Host());
+        List<Integer> out = new ArrayList<>();
+        if (known.address == null) {
+            out.add(DnsMessage.A);
+        }
+        if (known.facts == null) {
+            out.add(DnsMessage.TXT);
+        }
+        return out;
+    }
+
     /** Takes what was asked about one host. Facts that it has none of are known from then on. */
     void learn(String host, DnsMessage message) {
         while (learnt.size() >= MOST_LEARNT) {
