--- a/src/main/java/wingspread/directory/DirectoryClient.java
+++ b/src/main/java/wingspread/directory/DirectoryClient.java
@@ -1,6 +1,5 @@
 package wingspread.directory;
 
-import java.util.ArrayDeque;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -31,8 +30,9 @@
     /** Answers are taken for so long: a slow directory must be heard, and its list is dated by its serial number. */
     private static final long ANSWERS_TAKEN = 8_000_000;
     /**
-     * Hosts asked for with one answer, two questions each; the others' turn comes with the next. So many that a thousand
-     * new ones are learnt within the time in which news counts as told, though a tenth of the datagrams is lost.
+     * Hosts asked for with one answer, two questions each; the others' turn comes with the next. So many that a
+     * thousand new ones are learnt within the time in which news counts as told, though a tenth of the datagrams is
+     * lost.
      */
     private static final int MOST_HOSTS = 256;
     private static final int MOST_QUESTIONS = 8_192;
--- a/src/test/java/wingspread/directory/DirectoryDelayTest.java
+++ b/src/test/java/wingspread/directory/DirectoryDelayTest.java
@@ -129,7 +129,8 @@
                 u16(out, 0x8400, 1, 1, 0, 0);
                 out.write(question, 12, question.length - 12);
                 u16(out, 0xc00c, address ? 1 : 16, 1, 0, 0, address ? 4 : 9);
-                out.writeBytes(address ? new byte[] {127, 0, 0, 1} : "\u0008kind=std".getBytes(StandardCharsets.US_ASCII));
+                out.writeBytes(address ? new byte[] {127, 0, 0, 1}
+                        : "\u0008kind=std".getBytes(StandardCharsets.US_ASCII));
             }
             return out.toByteArray();
         }
