--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -231,6 +231,54 @@
         }
     }
 
+    private static SipMessage state() {
+        return SipMessage.request("NOTIFY", "sip:g@net").with("X-Gauges", "x0:3;x1:4");
+    }
+
+    @Test
+    void aCheckOpensAFreshConnectionWhoseFirstWordsAreKnownAsSuchAndTakesThePlaceOfTheOldestIdleOne() throws Exception {
+        Wire<SipMessage> first = accept();
+        first.send(state().encode());
+        assertTrue(((Event.Reported) event()).openedAt() != Event.Reported.UNSOLICITED);
+        first.send(state().encode());
+        assertEquals(Event.Reported.UNSOLICITED, ((Event.Reported) event()).openedAt());
+        clock.addAndGet(1_500_000);
+        assertTrue(inLoop(() -> links.check(1)));
+        Wire<SipMessage> second = accept();
+        second.send(state().encode());
+        assertEquals(clock.get(), ((Event.Reported) event()).openedAt());
+        // What needs no event of its own shows that the exchange lives, too.
+        first.send(SipMessage.response(200, "OK").with("Call-ID", "a").with("CSeq", "1 BYE").encode());
+        assertEquals(new Event.Heard(1), event());
+        assertTrue(inLoop(() -> links.check(1)));
+        assertTrue(first.closed());
+        accept().close();
+        assertFalse(inLoop(() -> links.check(2)));
+        second.close();
+    }
+
+    @Test
+    void aReleaseWaitsForAConnectionThatIsNotSilent() throws Exception {
+        try (Wire<SipMessage> silent = accept()) {
+            giveUpAfter(1_500_000, silent);
+            try (Wire<SipMessage> fresh = accept()) {
+                invite("b");
+                assertEquals("b", fresh.next().callId());
+                listener.close();
+                fresh.reset();
+                assertTrue(event() instanceof Event.Broken);
+            }
+        }
+        assertEquals(new Event.Died(1), event());
+        loop.execute(() -> links.release(1, "c", 41));
+        try (ServerSocket again = new ServerSocket(listener.getLocalPort(), 8, InetAddress.getLoopbackAddress())) {
+            again.setSoTimeout(10_000);
+            try (Wire<SipMessage> back = new Wire<>(again.accept(), new SipDecoder())) {
+                assertEquals("BYE", back.next().method());
+            }
+        }
+    }
+
     private static ByteBuf response(SipMessage invite) {
         return SipMessage.response(503, "x").with("Call-ID", invite.callId()).with("CSeq", "1 INVITE").encode();
     }
