Give a call's state a class of its own, under the field's usual name

Cause: Planner held the record of a call as its inner class 'Held', with fields and questions that make it longer to read. Change: core.CallState; variables named state in place of held, the gate's try named tried. No behaviour has changed.

--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -1,7 +1,6 @@
 package wingspread.core;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -63,8 +62,8 @@
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
     private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
     private final Deadlines deadlines = new Deadlines();
-    private final Map<String, Held> byId = new LinkedHashMap<>();
-    private final Map<Long, Held> byNumber = new HashMap<>();
+    private final Map<String, CallState> byId = new LinkedHashMap<>();
+    private final Map<Long, CallState> byNumber = new HashMap<>();
     private final StandingWatch watch;
     /** When each exchange that is listed was started. */
     private final Map<Long, Long> started = new HashMap<>();
@@ -76,37 +75,6 @@
     private long lastAnswer = Long.MAX_VALUE;
     private boolean draining;
 
-    /** A call from its coming in until nothing of it is awaited. */
-    private static final class Held {
-        final Request request;
-        final Caller caller;
-        final long number;
-        final List<Attempt> attempts = new ArrayList<>(1);
-        boolean answered;
-        /** The module has asked for a set-up that is not carried out yet. */
-        boolean asked;
-        /** The try as the gate counts it; null where there is no gate, and for calls in transit. */
-        Try seen;
-
-        Held(Request request, Caller caller, long number) {
-            this.request = request;
-            this.caller = caller;
-            this.number = number;
-        }
-
-        Attempt last() {
-            return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
-        }
-
-        boolean standing() {
-            return last() != null && last().standing();
-        }
-
-        boolean out() {
-            return last() != null && last().out();
-        }
-    }
-
     /** A planner that offers every call to the module. */
     public Planner(LongSupplier clock, Settings settings, Figures figures, long seed, int mostCalls,
             Exchanges exchanges, Caller.Strangers strangers, Metrics metrics) {
@@ -160,9 +128,9 @@
     public void answerBy(long latest) {
         lastAnswer = Math.min(lastAnswer, latest);
         watch.hurry();
-        for (Held held : byId.values()) {
-            if (!held.answered && held.request.deadline() > lastAnswer) {
-                deadlines.add(lastAnswer, () -> actions.add(() -> overdue(held)));
+        for (CallState state : byId.values()) {
+            if (!state.answered && state.request.deadline() > lastAnswer) {
+                deadlines.add(lastAnswer, () -> actions.add(() -> overdue(state)));
             }
         }
     }
@@ -174,7 +142,7 @@
 
     /** Calls that are owed an answer. */
     public long unanswered() {
-        return byId.values().stream().filter(held -> !held.answered).count();
+        return byId.values().stream().filter(state -> !state.answered).count();
     }
 
     /**
@@ -184,7 +152,7 @@
      */
     public long standing(boolean connected) {
         return byId.values().stream()
-                .filter(held -> held.standing() && (connected || !held.caller.outlivesRestart())).count();
+                .filter(state -> state.standing() && (connected || !state.caller.outlivesRestart())).count();
     }
 
     /**
@@ -194,15 +162,15 @@
      */
     public void handOver() {
         long now = clock.getAsLong();
-        for (Held held : List.copyOf(byId.values())) {
-            if (held.standing()
-                    && (!held.caller.outlivesRestart() || watch.suspect(now, held.last().exchange()))) {
-                exchanges.release(held.last().exchange(), held.request.id(), CUT);
-                finish(clock.getAsLong(), held, Status.CANCELLED, Report.NOTHING, CUT, EndReason.PLANNED_END);
-            } else if (held.out()) {
-                exchanges.withdraw(held.last());
-                held.last().end();
-                forgetIfDone(held);
+        for (CallState state : List.copyOf(byId.values())) {
+            if (state.standing()
+                    && (!state.caller.outlivesRestart() || watch.suspect(now, state.last().exchange()))) {
+                exchanges.release(state.last().exchange(), state.request.id(), CUT);
+                finish(clock.getAsLong(), state, Status.CANCELLED, Report.NOTHING, CUT, EndReason.PLANNED_END);
+            } else if (state.out()) {
+                exchanges.withdraw(state.last());
+                state.last().end();
+                forgetIfDone(state);
             }
         }
     }
@@ -285,20 +253,20 @@
             caller.refused(settings.maxRetryAfter());
             return;
         }
-        Held held = new Held(request, caller, nextCall++);
+        CallState state = new CallState(request, caller, nextCall++);
         if (storms != null && !request.transit()) {
             Optional<Try> seen = storms.offered(now, request, number(request.number()), caller);
             if (seen.isEmpty()) {
                 log.answered(request.id(), "refused", AnswerReason.STORM, 0);
                 return;
             }
-            held.seen = seen.get();
+            state.tried = seen.get();
         }
-        byId.put(request.id(), held);
-        byNumber.put(held.number, held);
+        byId.put(request.id(), state);
+        byNumber.put(state.number, state);
         descriptions += request.description().length;
-        deadlines.add(request.deadline(), () -> actions.add(() -> overdue(held)));
-        control.onCall(now, new CallControl.Call(held.number, request.callClass(), number(request.number()),
+        deadlines.add(request.deadline(), () -> actions.add(() -> overdue(state)));
+        control.onCall(now, new CallControl.Call(state.number, request.callClass(), number(request.number()),
                 request.deadline(), request.destination(), request.width(), request.via(), request.redial(),
                 request.transit(), request.cut()));
     }
@@ -315,35 +283,35 @@
      * Guards against a module that lets a caller's time run out: the answer owed is given all the same, after
      * what the module has already asked for.
      */
-    private void overdue(Held held) {
-        if (!held.answered) {
-            boolean early = held.request.deadline() > lastAnswer;
-            LOG.warn("call {} came to {} unanswered", held.request.id(), early ? "the planned end" : "its deadline");
-            control.onDropped(clock.getAsLong(), held.number);
-            failed(held);
-            log.answered(held.request.id(), "failed", early ? AnswerReason.PLANNED_END : AnswerReason.DEADLINE,
-                    held.attempts.size());
-            answer(held, "failed", held.caller::failed);
+    private void overdue(CallState state) {
+        if (!state.answered) {
+            boolean early = state.request.deadline() > lastAnswer;
+            LOG.warn("call {} came to {} unanswered", state.request.id(), early ? "the planned end" : "its deadline");
+            control.onDropped(clock.getAsLong(), state.number);
+            failed(state);
+            log.answered(state.request.id(), "failed", early ? AnswerReason.PLANNED_END : AnswerReason.DEADLINE,
+                    state.attempts.size());
+            answer(state, "failed", state.caller::failed);
         }
     }
 
     /** Its caller got nothing and may dial again. */
-    private void failed(Held held) {
-        if (held.seen != null) {
-            storms.failed(held.seen);
+    private void failed(CallState state) {
+        if (state.tried != null) {
+            storms.failed(state.tried);
         }
     }
 
     private void callerEnded(long now, String id, int cause) {
-        Held held = byId.get(id);
-        if (held != null && held.standing()) {
+        CallState state = byId.get(id);
+        if (state != null && state.standing()) {
             metrics.count("taken.releases");
-            exchanges.release(held.last().exchange(), id, cause);
-            held.last().end();
-            watch.over(held.last().exchange());
-            log.over(held.last(), EndReason.CALLER_RELEASED, cause);
-            outcome(now, held, held.last(), Status.CANCELLED, Cause.NONE, Report.NOTHING);
-            forgetIfDone(held);
+            exchanges.release(state.last().exchange(), id, cause);
+            state.last().end();
+            watch.over(state.last().exchange());
+            log.over(state.last(), EndReason.CALLER_RELEASED, cause);
+            outcome(now, state, state.last(), Status.CANCELLED, Cause.NONE, Report.NOTHING);
+            forgetIfDone(state);
         }
     }
 
@@ -352,20 +320,20 @@
      * whose set-up was taken can give it up. One whose call came to stand at the same time was not told so.
      */
     private void givenUp(long now, String id, Caller caller) {
-        Held held = byId.get(id);
-        if (held == null || held.caller != caller) {
+        CallState state = byId.get(id);
+        if (state == null || state.caller != caller) {
             return;
         }
-        if (held.answered) {
+        if (state.answered) {
             callerEnded(now, id, NORMAL);
         } else {
             metrics.count("taken.given-up");
-            log.answered(id, "given up", AnswerReason.CALLER_GAVE_UP, held.attempts.size());
-            held.answered = true;
-            held.caller.givenUp();
-            failed(held);
-            control.onDropped(now, held.number);
-            forgetIfDone(held);
+            log.answered(id, "given up", AnswerReason.CALLER_GAVE_UP, state.attempts.size());
+            state.answered = true;
+            state.caller.givenUp();
+            failed(state);
+            control.onDropped(now, state.number);
+            forgetIfDone(state);
         }
     }
 
@@ -374,10 +342,10 @@
         if (attempt != null && attempt.standing()) {
             return;
         }
-        Held held = byId.get(e.call());
+        CallState state = byId.get(e.call());
         // Guards against an answer that crosses our CANCEL or time-out: the exchange holds a call to stand that
         // nobody waits for, and would keep its circuits.
-        if (attempt == null || !attempt.out() || held.answered) {
+        if (attempt == null || !attempt.out() || state.answered) {
             metrics.count("sent.crossed-releases");
             log.crossed(e.call(), e.exchange());
             exchanges.release(e.exchange(), e.call(), NORMAL);
@@ -389,25 +357,25 @@
         attempt.stand(now);
         watch.stood(now, attempt.exchange());
         log.stood(attempt, now);
-        control.onStood(now, held.number, attempt.index(), attempt.exchange(), now - attempt.sentAt());
-        if (held.seen != null) {
-            storms.gotThrough(now, held.seen);
+        control.onStood(now, state.number, attempt.index(), attempt.exchange(), now - attempt.sentAt());
+        if (state.tried != null) {
+            storms.gotThrough(now, state.tried);
         }
-        answer(held, "stood", () -> held.caller.stands(e.description()));
+        answer(state, "stood", () -> state.caller.stands(e.description()));
     }
 
     private void released(long now, Event.Released e) {
-        Held held = byId.get(e.call());
+        CallState state = byId.get(e.call());
         // Guards the callers of a program that ended before this one was started: their calls stand without it.
         // An exchange says a release again on its next connection, which must not reach the caller twice.
-        if (held == null && rememberOver(e.call())) {
+        if (state == null && rememberOver(e.call())) {
             metrics.count("answered.strangers");
             log.unknownReleased(e.call(), e.exchange(), e.cause());
             strangers.over(e.call(), e.cause());
         }
         Attempt attempt = attempt(e.exchange(), e.call());
         if (attempt != null && attempt.standing()) {
-            finish(now, held, e.cause() == NORMAL ? Status.OK : Status.RESET, e.report(), e.cause(),
+            finish(now, state, e.cause() == NORMAL ? Status.OK : Status.RESET, e.report(), e.cause(),
                     EndReason.EXCHANGE_RELEASED);
         } else if (attempt != null && attempt.out()) {
             ended(now, attempt, Status.RESET, Cause.NONE, e.report());
@@ -438,14 +406,14 @@
 
     /** Ends the calls that stood through an exchange and were sent before it last started. */
     private void cutAll(long now, long exchange, long sentBefore, EndReason reason) {
-        for (Held held : standingThrough(exchange, attempt -> attempt.sentAt() < sentBefore)) {
-            finish(now, held, Status.RESET, Report.NOTHING, CUT, reason);
+        for (CallState state : standingThrough(exchange, attempt -> attempt.sentAt() < sentBefore)) {
+            finish(now, state, Status.RESET, Report.NOTHING, CUT, reason);
         }
     }
 
-    private List<Held> standingThrough(long exchange, Predicate<Attempt> which) {
-        return byId.values().stream().filter(held -> held.standing() && held.last().exchange() == exchange
-                && which.test(held.last())).toList();
+    private List<CallState> standingThrough(long exchange, Predicate<Attempt> which) {
+        return byId.values().stream().filter(state -> state.standing() && state.last().exchange() == exchange
+                && which.test(state.last())).toList();
     }
 
     /** An exchange has been silent for too long: its calls are over for their callers, and for it if it lives. */
@@ -464,29 +432,29 @@
 
     private void giveUp(long exchange, EndReason reason, long silence, Predicate<Attempt> which) {
         long now = clock.getAsLong();
-        List<Held> calls = standingThrough(exchange, which);
+        List<CallState> calls = standingThrough(exchange, which);
         if (calls.isEmpty()) {
             return;
         }
         metrics.count("exchanges.down." + reason);
         log.exchangeDown(exchange, reason, calls.size(), silence);
-        for (Held held : calls) {
+        for (CallState state : calls) {
             // Should the exchange be there after all, it must not keep the circuits.
-            exchanges.release(exchange, held.request.id(), CUT);
-            finish(now, held, Status.RESET, Report.NOTHING, CUT, reason);
+            exchanges.release(exchange, state.request.id(), CUT);
+            finish(now, state, Status.RESET, Report.NOTHING, CUT, reason);
         }
     }
 
     /** A standing call is over. */
-    private void finish(long now, Held held, Status status, Report report, int cause, EndReason reason) {
-        Attempt attempt = held.last();
+    private void finish(long now, CallState state, Status status, Report report, int cause, EndReason reason) {
+        Attempt attempt = state.last();
         attempt.end();
         watch.over(attempt.exchange());
         metrics.count(cause == NORMAL ? "answered.over" : "answered.cut");
         log.over(attempt, reason, cause);
-        held.caller.over(cause);
-        outcome(now, held, attempt, status, Cause.NONE, report);
-        forgetIfDone(held);
+        state.caller.over(cause);
+        outcome(now, state, attempt, status, Cause.NONE, report);
+        forgetIfDone(state);
     }
 
     /** An attempt ended without bringing the call to stand. */
@@ -494,13 +462,13 @@
         attempt.end();
         metrics.count("ended." + status + (cause == Cause.NONE ? "" : "." + cause));
         log.attemptEnded(attempt, now, status, cause);
-        Held held = byNumber.get(attempt.call());
-        outcome(now, held, attempt, status, cause, report);
-        forgetIfDone(held);
+        CallState state = byNumber.get(attempt.call());
+        outcome(now, state, attempt, status, cause, report);
+        forgetIfDone(state);
     }
 
-    private void outcome(long now, Held held, Attempt attempt, Status status, Cause cause, Report report) {
-        control.onOutcome(now, new Outcome(held.number, attempt.index(), held.answered, attempt.exchange(),
+    private void outcome(long now, CallState state, Attempt attempt, Status status, Cause cause, Report report) {
+        control.onOutcome(now, new Outcome(state.number, attempt.index(), state.answered, attempt.exchange(),
                 now - attempt.sentAt(), status, cause, 0, report));
     }
 
@@ -510,8 +478,8 @@
      * taken for one to the first, and its call released.
      */
     private Attempt attempt(long exchange, String id) {
-        Held held = byId.get(id);
-        Attempt last = held == null ? null : held.last();
+        CallState state = byId.get(id);
+        Attempt last = state == null ? null : state.last();
         return last != null && last.exchange() == exchange ? last : null;
     }
 
@@ -519,12 +487,12 @@
      * Guards the module's windows: a call given up in the turn in which its set-up is asked for is kept until the
      * module has heard what became of that, else the set-up would count as unanswered for ever.
      */
-    private void forgetIfDone(Held held) {
-        if (held.answered && !held.asked && !held.out() && !held.standing()) {
-            byId.remove(held.request.id());
-            rememberOver(held.request.id());
-            if (byNumber.remove(held.number) != null) {
-                descriptions -= held.request.description().length;
+    private void forgetIfDone(CallState state) {
+        if (state.answered && !state.asked && !state.out() && !state.standing()) {
+            byId.remove(state.request.id());
+            rememberOver(state.request.id());
+            if (byNumber.remove(state.number) != null) {
+                descriptions -= state.request.description().length;
             }
         }
     }
@@ -537,41 +505,41 @@
         return over.add(call);
     }
 
-    private void answer(Held held, String kind, Runnable saying) {
-        held.answered = true;
+    private void answer(CallState state, String kind, Runnable saying) {
+        state.answered = true;
         metrics.count("answered." + kind);
         saying.run();
-        forgetIfDone(held);
+        forgetIfDone(state);
     }
 
     // What the module asks for.
 
     @Override
     public void send(long call, long exchange, long deadline) {
-        Held held = byNumber.get(call);
-        held.asked = true;
+        CallState state = byNumber.get(call);
+        state.asked = true;
         actions.add(() -> {
-            held.asked = false;
-            start(held, exchange, deadline);
+            state.asked = false;
+            start(state, exchange, deadline);
         });
     }
 
-    private void start(Held held, long exchange, long deadline) {
+    private void start(CallState state, long exchange, long deadline) {
         long now = clock.getAsLong();
-        Attempt attempt = new Attempt(held.request, held.number, held.attempts.size(), exchange, now,
-                Math.min(deadline, held.request.deadline()));
+        Attempt attempt = new Attempt(state.request, state.number, state.attempts.size(), exchange, now,
+                Math.min(deadline, state.request.deadline()));
         // Guards the rules whatever the module asks: no second set-up beside one that is out, no set-up of a
         // call that has its answer, none beyond the most attempts, none to an exchange that the list does not name.
-        if (held.answered || held.out() || attempt.index() >= settings.maxAttempts() || !started.containsKey(exchange)
+        if (state.answered || state.out() || attempt.index() >= settings.maxAttempts() || !started.containsKey(exchange)
                 || attempt.deadline() <= now) {
             metrics.count("ended.MOOT.unsent");
-            if (!held.out()) {
-                held.attempts.add(attempt);
+            if (!state.out()) {
+                state.attempts.add(attempt);
                 ended(now, attempt, Status.MOOT, Cause.NONE, Report.NOTHING);
             }
             return;
         }
-        held.attempts.add(attempt);
+        state.attempts.add(attempt);
         deadlines.add(attempt.deadline(), () -> timedOut(attempt));
         metrics.count("sent.set-ups");
         log.sent(attempt);
@@ -587,34 +555,34 @@
 
     @Override
     public void refuse(long call, long retryAfter) {
-        actions.add(() -> unansweredCall(call, "refused", held -> held.caller.refused(
-                held.seen == null ? retryAfter : storms.refused(held.seen, retryAfter))));
+        actions.add(() -> unansweredCall(call, "refused", state -> state.caller.refused(
+                state.tried == null ? retryAfter : storms.refused(state.tried, retryAfter))));
     }
 
     @Override
     public void fail(long call) {
-        actions.add(() -> unansweredCall(call, "failed", held -> {
-            failed(held);
-            held.caller.failed();
+        actions.add(() -> unansweredCall(call, "failed", state -> {
+            failed(state);
+            state.caller.failed();
         }));
     }
 
     /** Guards against a second final answer: what has been answered is left alone. */
-    private void unansweredCall(long call, String kind, Consumer<Held> saying) {
-        Held held = byNumber.get(call);
-        if (held != null && !held.answered) {
-            log.answered(held.request.id(), kind, AnswerReason.DECIDED, held.attempts.size());
-            answer(held, kind, () -> saying.accept(held));
+    private void unansweredCall(long call, String kind, Consumer<CallState> saying) {
+        CallState state = byNumber.get(call);
+        if (state != null && !state.answered) {
+            log.answered(state.request.id(), kind, AnswerReason.DECIDED, state.attempts.size());
+            answer(state, kind, () -> saying.accept(state));
         }
     }
 
     @Override
     public void cancel(long call, int attempt) {
         actions.add(() -> {
-            Held held = byNumber.get(call);
-            if (held != null && held.out() && held.last().index() == attempt) {
-                exchanges.withdraw(held.last());
-                inbox.add(new Event.Broken(held.last(), Status.CANCELLED));
+            CallState state = byNumber.get(call);
+            if (state != null && state.out() && state.last().index() == attempt) {
+                exchanges.withdraw(state.last());
+                inbox.add(new Event.Broken(state.last(), Status.CANCELLED));
             }
         });
     }
