--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -45,6 +45,8 @@
     private static final long NO_NUMBER = 0;
     /** An exchange that has lost no call says its releases by then, after the first words of a connection. */
     private static final long RELEASES_FOLLOW = 500_000;
+    /** An exchange's first words may have been put together so long before they were said. */
+    private static final long REPORT_AGE = 100_000;
     private static final int MOST_ENDED = 8_192;
     /** Bytes of descriptions that are kept at a time, a share of the heap. */
     private static final long MOST_DESCRIPTIONS = 16 << 20;
@@ -423,7 +425,7 @@
 
     /** Holds what an exchange said first on a connection against its calls; its releases have had their time since. */
     private void audit(Event.Reported first) {
-        Predicate<Attempt> before = attempt -> attempt.stoodAt() < first.openedAt();
+        Predicate<Attempt> before = attempt -> attempt.stoodAt() < first.openedAt() - REPORT_AGE;
         double width = standingThrough(first.exchange(), before).stream().mapToDouble(h -> h.request.width()).sum();
         if (ExchangeLiveness.lacksCalls(first.report(), width)) {
             giveUp(first.exchange(), EndReason.EXCHANGE_LOST_CALLS, 0, before);
