Let slow writers finish, close nothing that owes an answer for a message that stops short

A message had 0.4 s to be whole, on any connection: a caller that wrote its request over a longer time had its connection closed with the calls that were open on it, and an exchange that answered slowly had all set-ups on its connection reset. Change: a message may come for as long as bytes come, 25 pauses at the most; a pause is 0.4 s, from callers 2.2 s, since bad ones are owed a close within 3 s; while an answer is owed on the connection it stays. An idle connection that holds a part of a message makes no room. Releases go first to a connection on which a call has come to stand.

--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -46,6 +47,7 @@
     private static final int INVALID = 100;
     /** A caller sends its call with the connection; what says nothing for so long holds a descriptor for nothing. */
     private static final long LONGEST_MUTE = 2_500_000;
+    private static final long LONGEST_PAUSE_MS = 2_200;
     private static final int MOST_RELEASES = 4_096;
     /** Of the second within which a caller must be told of a release. */
     private static final long LONGEST_WAIT_FOR_OFFER = 500_000;
@@ -70,6 +72,11 @@
     private long accepted;
     /** The connections on which calls were offered, the one that offered last at the end. */
     private final Set<Channel> offering = new LinkedHashSet<>();
+    /**
+     * The same of those on which a call has come to stand. Guards against callers that offer what is turned away, and
+     * may not listen for other callers' calls.
+     */
+    private final Set<Channel> stood = new LinkedHashSet<>();
     /** The connection on which a whole message came last; null before the first. */
     private Channel heardLast;
 
@@ -154,13 +161,26 @@
 
     private boolean idle(Channel channel) {
         Calls calls = connections.get(channel);
-        return calls != null && calls.open.isEmpty() && calls.standing == 0;
+        return calls != null && calls.open.isEmpty() && calls.standing == 0 && !MessageHandler.busy(channel);
+    }
+
+    /** Callers may write slowly; one that stops short is owed a close within 3 s of connecting. */
+    @Override
+    public long longestPause() {
+        return LONGEST_PAUSE_MS;
+    }
+
+    @Override
+    public boolean owes(Channel channel) {
+        Calls calls = connections.get(channel);
+        return calls != null && !calls.open.isEmpty();
     }
 
     @Override
     public void ended(Channel channel, CloseReason reason) {
         admission.ended(channel);
         offering.remove(channel);
+        stood.remove(channel);
         Calls calls = connections.remove(channel);
         for (Leg leg : calls == null ? List.<Leg>of() : calls.open.values()) {
             post(new Event.GivenUp(leg.id, leg));
@@ -301,9 +321,13 @@
         release(offeredLast(), call, cause);
     }
 
-    /** Of the connections that are up the one that offered a call last, or null. */
+    /** Of the connections that are up the one whose call stood last, else the one that offered last, or null. */
     private Channel offeredLast() {
-        return offering.stream().filter(this::up).reduce((earlier, later) -> later).orElse(null);
+        return last(stood).or(() -> last(offering)).orElse(null);
+    }
+
+    private Optional<Channel> last(Set<Channel> channels) {
+        return channels.stream().filter(this::up).reduce((earlier, later) -> later);
     }
 
     private void release(Channel channel, String call, int cause) {
@@ -374,6 +398,8 @@
             Calls calls = connections.get(channel);
             if (calls != null) {
                 calls.standing++;
+                stood.remove(channel);
+                stood.add(channel);
                 standing.put(id, this);
             }
             answer(line("accept", id, "", -1, new String(description, StandardCharsets.ISO_8859_1)));
--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -25,10 +25,21 @@
 
         /** The connection has ended. */
         void ended(Channel channel, CloseReason reason);
+
+        /** Milliseconds without a byte after which a message that has begun counts as stopping short. */
+        default long longestPause() {
+            return LONGEST_PAUSE;
+        }
+
+        /** Whether something is owed on the connection: meanwhile no message that stops short closes it. */
+        default boolean owes(Channel channel) {
+            return false;
+        }
     }
 
-    /** Milliseconds in which a message that has begun must be whole. */
-    private static final long LONGEST_PART = 400;
+    private static final long LONGEST_PAUSE = 400;
+    /** A message that goes on and on in pieces ends its connection after so many pauses. */
+    private static final int MOST_PAUSES = 25;
 
     private final String kind;
     private final FrameDecoder<M> decoder;
@@ -37,6 +48,9 @@
     private int from;
     private int to;
     private long messages;
+    private long received;
+    /** Pauses in a row in which no message became whole. */
+    private int pauses;
     private boolean awaiting;
     private CloseReason reason = CloseReason.PEER_CLOSED;
     private String detail = "";
@@ -100,26 +114,31 @@
 
     /**
      * Guards against a message that stops short or states a length that never comes: all that follows it on its
-     * connection would be waited for in vain.
+     * connection would be waited for in vain. One that comes slowly goes on for as long as bytes come, within a bound.
      */
     private void awaitRest(ChannelHandlerContext ctx) {
         if (to > from && !awaiting) {
             awaiting = true;
-            long before = messages;
+            long messagesBefore = messages;
+            long receivedBefore = received;
             ctx.executor().schedule(() -> {
                 awaiting = false;
-                if (messages > before) {
-                    awaitRest(ctx);
-                } else if (to > from) {
+                pauses = messages > messagesBefore ? 0 : pauses + 1;
+                boolean stopped = to > from && messages == messagesBefore
+                        && (received == receivedBefore || pauses >= MOST_PAUSES);
+                if (stopped && !owner.owes(ctx.channel())) {
                     detail = " (a message that stops short)";
                     close(ctx.channel(), CloseReason.BAD_INPUT);
+                } else {
+                    awaitRest(ctx);
                 }
-            }, LONGEST_PART, TimeUnit.MILLISECONDS);
+            }, owner.longestPause(), TimeUnit.MILLISECONDS);
         }
     }
 
     private void take(ByteBuf buf) {
         int n = buf.readableBytes();
+        received += n;
         if (to + n > bytes.length) {
             byte[] target = to - from + n > bytes.length ? new byte[Integer.highestOneBit(to - from + n) * 2] : bytes;
             System.arraycopy(bytes, from, target, 0, to - from);
--- a/src/main/java/wingspread/testbed/soak/BadCallers.java
+++ b/src/main/java/wingspread/testbed/soak/BadCallers.java
@@ -15,6 +15,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import wingspread.net.Loop;
 
 /**
@@ -24,6 +27,7 @@
 final class BadCallers {
     /** How long they hold a connection at the most. */
     private static final long LONGEST = 4_000_000;
+    private static final Pattern ENDED = Pattern.compile("\"op\":\"end\",\"call\":\"([0-9a-f]{16})\"");
     private static final List<String> GARBAGE = List.of("nonsense\n", "{\"op\":\"offer\"\n",
             "\u0000\u0001\u0002\n",
             "{\"op\":\"offer\",\"call\":\"1\",\"with\":{\"class\":\"none\",\"left\":\"-1\"},\"desc\":\"\"}\n",
@@ -35,21 +39,24 @@
 
     /** One that sends what cannot be read. */
     static void garbage(Loop loop, int port, SplittableRandom random, TrialLog log, String party) {
-        sayOnce(loop, port, GARBAGE.get(random.nextInt(GARBAGE.size())), log, party);
+        sayOnce(loop, port, GARBAGE.get(random.nextInt(GARBAGE.size())), log, party, call -> { });
     }
 
     /** One that never finishes a request; every other one has begun. */
     static void mute(Loop loop, int port, int number, TrialLog log, String party) {
-        sayOnce(loop, port, number % 2 == 0 ? "" : "{\"op\":\"off", log, party);
+        sayOnce(loop, port, number % 2 == 0 ? "" : "{\"op\":\"off", log, party, call -> { });
     }
 
-    /** Connects, says this, and holds the connection for a while. */
-    static void sayOnce(Loop loop, int port, String text, TrialLog log, String party) {
+    /**
+     * Connects, says this, and holds the connection for a while. Whatever ends a call that stands may come on it, as on
+     * any connection of a caller's: {@code over} hears of these calls.
+     */
+    static void sayOnce(Loop loop, int port, String text, TrialLog log, String party, Consumer<String> over) {
         new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
                 .handler(new ChannelInitializer<NioSocketChannel>() {
                     @Override
                     protected void initChannel(NioSocketChannel channel) {
-                        channel.pipeline().addLast(new Listener(log, party));
+                        channel.pipeline().addLast(new Listener(log, party, over));
                     }
                 })
                 .connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
@@ -79,8 +86,10 @@
     private static final class Listener extends ChannelInboundHandlerAdapter {
         private final TrialLog log;
         private final String party;
+        private final Consumer<String> over;
 
-        Listener(TrialLog log, String party) {
+        Listener(TrialLog log, String party, Consumer<String> over) {
+            this.over = over;
             this.log = log;
             this.party = party;
         }
@@ -90,6 +99,10 @@
             ByteBuf bytes = (ByteBuf) in;
             String text = bytes.toString(StandardCharsets.ISO_8859_1);
             bytes.release();
+            Matcher ended = ENDED.matcher(text);
+            while (ended.find()) {
+                over.accept(ended.group(1));
+            }
             if (text.contains("\"accept\"")) {
                 log.add(party, "a bad caller is told that its call stands: " + text.strip());
             }
--- a/src/main/java/wingspread/testbed/soak/CallerStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/CallerStandIn.java
@@ -41,6 +41,8 @@
     private static final double SHORT_TIME_SHARE = 0.1;
     private static final double FAULTY_SHARE = 0.25;
     private static final long PIECE_PAUSE = 8_000;
+    /** Of a caller that writes very slowly. */
+    private static final long LONGEST_PIECE_PAUSE = 1_500_000;
     private static final String TEST = "{\"op\":\"test\",\"call\":\"0000000000000001\",\"with\":{},\"why\":0}\n";
 
     /** What some of the callers do wrong for a while. */
@@ -256,7 +258,8 @@
             int cut = 1 + random.nextInt(line.length() - 2);
             partWritten.add(channel);
             channel.writeAndFlush(bytes(line.substring(0, cut)));
-            loop.at(loop.now() + PIECE_PAUSE, () -> {
+            long pause = PIECE_PAUSE + (random.nextInt(4) == 0 ? random.nextLong(LONGEST_PIECE_PAUSE) : 0);
+            loop.at(loop.now() + pause, () -> {
                 partWritten.remove(channel);
                 if (channel.isActive() && open.containsKey(channel)) {
                     written(channel, id, left, transit ? softswitch : -1, destination, line.substring(cut), again);
@@ -316,7 +319,12 @@
     /** A caller that may not offer this id does so, on a connection of its own, and goes. */
     private void repeat(String id, String line) {
         if (line.startsWith("{")) {
-            BadCallers.sayOnce(loop, port, line, log, party);
+            BadCallers.sayOnce(loop, port, line, log, party, call -> {
+                if (judge.stands(call) && !call.equals(id)) {
+                    log.add(party, call, "told over on another caller's connection");
+                    judge.toldOver(call);
+                }
+            });
         }
     }
 
--- a/src/main/java/wingspread/testbed/soak/SoakReport.java
+++ b/src/main/java/wingspread/testbed/soak/SoakReport.java
@@ -1,5 +1,6 @@
 package wingspread.testbed.soak;
 
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.EnumMap;
 import java.util.List;
@@ -92,7 +93,10 @@
             out.append("Nothing.\n");
         }
         for (Soak.Outcome outcome : bad) {
-            out.append("- ").append(describe(outcome).replace("\n", "\n  ")).append('\n');
+            String where = outcome.result() == null ? "" : outcome.result().folder().toString();
+            String what = where.isEmpty() ? describe(outcome)
+                    : describe(outcome).replace(where, "folder " + Path.of(where).getFileName());
+            out.append("- ").append(what.replace("\n", "\n  ")).append('\n');
         }
     }
 
--- a/src/test/java/wingspread/net/MessageHandlerTest.java
+++ b/src/test/java/wingspread/net/MessageHandlerTest.java
@@ -17,6 +17,7 @@
 
 class MessageHandlerTest {
     private final List<Object> taken = new ArrayList<>();
+    private boolean owed;
     private final EmbeddedChannel channel = new EmbeddedChannel(new MessageHandler<>("test", new LineDecoder(),
             new MessageHandler.Owner<Map<?, ?>>() {
                 @Override
@@ -28,6 +29,11 @@
                 public void ended(Channel from, CloseReason reason) {
                     taken.add(reason);
                 }
+
+                @Override
+                public boolean owes(Channel from) {
+                    return owed;
+                }
             }));
 
     private void read(String text) {
@@ -60,6 +66,37 @@
         assertFalse(MessageHandler.busy(channel));
     }
 
+    @Test
+    void aMessageThatComesSlowlyIsTakenButNotForEver() {
+        for (String piece : "{\"slow\":\"writer\"}\n".split("")) {
+            read(piece);
+            pass(300);
+        }
+        assertEquals(List.of(Map.of("slow", "writer")), taken);
+        read("{");
+        int pieces = 0;
+        while (channel.isOpen() && pieces < 100) {
+            read(" ");
+            pass(300);
+            pieces++;
+        }
+        assertTrue(pieces > 25 && pieces <= 60, pieces + " pieces");
+    }
+
+    /** An answer is owed on the connection: it is closed for the message that stops short once that is given. */
+    @Test
+    void whileSomethingIsOwedAMessageThatStopsShortClosesNothing() {
+        owed = true;
+        read("{\"op\":");
+        for (int i = 0; i < 10; i++) {
+            pass(400);
+        }
+        assertTrue(channel.isOpen());
+        owed = false;
+        pass(400);
+        assertFalse(channel.isOpen());
+    }
+
     @Test
     void aMessageWhoseRestComesIsTakenAndTheNextHasItsOwnTime() {
         read("{");
