Let only a refusal with no connection left prove that an exchange's process is down

Cause: reading the change again: since the liveness watch, a connect refused beside connections that have fallen silent cut all calls of the exchange; one that holds as many connections as it can, and answers slowly, would lose them wrongly. Change: as before the watch, the refusal proves it only where no connection is open; the watch finds the other case. Measured: LinksTest and PlannerTest pass.

--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -306,9 +306,10 @@
             return;
         }
         failWaiting();
-        if (reason == CloseReason.REFUSED) {
+        if (reason == CloseReason.REFUSED && open.isEmpty()) {
             // A refused connection proves that the process is down: what stood through it is cut. One that is reset or
-            // does not come up proves nothing of the kind; nor does a connection that has fallen silent that it is up.
+            // does not come up proves nothing of the kind, nor does a refusal beside a connection that has fallen
+            // silent: an exchange that holds as many connections as it can may be slow as well.
             events.accept(new Event.Died(number));
         }
         retryLater();
