Tell a release again whose carrier closed at once, and hold the counters against each other

Change: what is told on a connection other than the call's own is kept for 0.5 s, and told on another one if that closes meanwhile by its caller's doing. The soak compares in each line of counters what was taken with what was answered.

--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -49,6 +49,9 @@
     private static final long LONGEST_MUTE = 2_500_000;
     private static final long LONGEST_PAUSE_MS = 2_200;
     private static final int MOST_RELEASES = 4_096;
+    /** A release that was written so shortly before the close of its connection may not have been heard. */
+    private static final long CROSSING = 500_000;
+    private static final int MOST_TOLD = 1_024;
     /** Of the second within which a caller must be told of a release. */
     private static final long LONGEST_WAIT_FOR_OFFER = 500_000;
     /** The loop reads what is ready before it plays what is due so much later. */
@@ -67,6 +70,8 @@
     private final Map<Channel, Calls> connections = new LinkedHashMap<>();
     private final Map<String, Leg> standing = new HashMap<>();
     private final ArrayDeque<String> unsentReleases = new ArrayDeque<>();
+    /** The releases that went to other callers than their own last, oldest first. */
+    private final ArrayDeque<Told> told = new ArrayDeque<>();
     private Channel listener;
     /** Connections that have come up. */
     private long accepted;
@@ -185,6 +190,9 @@
         for (Leg leg : calls == null ? List.<Leg>of() : calls.open.values()) {
             post(new Event.GivenUp(leg.id, leg));
         }
+        if (reason == CloseReason.PEER_CLOSED || reason == CloseReason.RESET) {
+            tellAgain(channel);
+        }
     }
 
     /** A call that stood is over: its connection carries one less. */
@@ -334,7 +342,7 @@
         String line = line("end", call, "", cause, null);
         if (up(channel)) {
             CALLS.debug("{} release told to caller {}", call, channel.remoteAddress());
-            write(channel, line);
+            tell(channel, line);
         } else if (unsentReleases.size() < MOST_RELEASES) {
             CALLS.info("{} release waits: no caller that has offered a call is connected", call);
             unsentReleases.add(line);
@@ -356,10 +364,42 @@
 
     private void sendReleases(Channel channel) {
         while (!unsentReleases.isEmpty()) {
-            write(channel, unsentReleases.remove());
+            tell(channel, unsentReleases.remove());
+        }
+    }
+
+    private void tell(Channel channel, String line) {
+        write(channel, line);
+        if (told.size() >= MOST_TOLD) {
+            told.remove();
+        }
+        told.add(new Told(channel, line, loop.now()));
+    }
+
+    /**
+     * Tells again, on another connection, what was told on one that has closed so soon after that it was not heard.
+     * Guards calls from before a restart: their releases go to whichever caller is there, who may be closing.
+     */
+    private void tellAgain(Channel closed) {
+        for (Told release : List.copyOf(told)) {
+            if (release.channel() == closed && release.at() + CROSSING >= loop.now()) {
+                told.remove(release);
+                unsentReleases.add(release.line());
+            }
+        }
+        if (!unsentReleases.isEmpty()) {
+            Channel other = offeredLast();
+            if (other != null) {
+                sendReleases(other);
+            } else {
+                loop.at(loop.now() + LONGEST_WAIT_FOR_OFFER, this::tellWhoeverIsThere);
+            }
         }
     }
 
+    /** The release of a call that was told on a connection which is not known to be the call's own. */
+    private record Told(Channel channel, String line, long at) { }
+
     private boolean up(Channel channel) {
         return connections.containsKey(channel) && channel.isActive();
     }
@@ -423,7 +463,12 @@
         @Override
         public void over(int cause) {
             JsonlFront.this.ended(standing.get(id));
-            release(up(channel) ? channel : offeredLast(), id, cause);
+            if (up(channel)) {
+                CALLS.debug("{} release told to its caller {}", id, channel.remoteAddress());
+                write(channel, line("end", id, "", cause, null));
+            } else {
+                release(offeredLast(), id, cause);
+            }
         }
 
         /** A call of this wire belongs to no connection, nor to the program that set it up. */
--- a/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
+++ b/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
@@ -4,7 +4,9 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -39,6 +41,9 @@
     private static final long WATCH_EVERY = 100_000;
     private static final long READY_WITHIN = 10_000_000;
     private static final int CONNECTIONS = 4;
+    /** The counters of all ways in which a call that was taken is answered, or needs no answer any longer. */
+    private static final List<String> ANSWERS = List.of("answered.stood", "answered.refused", "answered.failed",
+            "answered.overfull", "answered.draining", "answered.storm", "taken.repeats", "taken.given-up");
     /** Each change of a call's state is in the log. */
     private static final List<String> JVM_ARGUMENTS = List.of("-Dorg.slf4j.simpleLogger.log.call=debug");
     /** By SIGKILL, and by SIGTERM before the program hears signals: it has taken nothing by then. */
@@ -288,6 +293,32 @@
         }
     }
 
+    /** Compares in each line of counters that its processes left what was taken with what was answered. */
+    void checkCounters() throws IOException {
+        for (String line : process.lines()) {
+            Map<String, Long> counters = counters(line);
+            long taken = counters.getOrDefault("taken.calls", 0L);
+            long answered = ANSWERS.stream().mapToLong(name -> counters.getOrDefault(name, 0L)).sum();
+            if (taken != answered) {
+                judge.processBroken(number, "took " + taken + " calls and answered " + answered + ": " + line);
+            }
+        }
+    }
+
+    private static Map<String, Long> counters(String line) {
+        Map<String, Long> out = new HashMap<>();
+        int at = line.indexOf(" counters ");
+        if (at >= 0) {
+            for (String counter : line.substring(at).strip().split(" ")) {
+                int eq = counter.indexOf('=');
+                if (eq > 0) {
+                    out.put(counter.substring(0, eq), Long.parseLong(counter.substring(eq + 1)));
+                }
+            }
+        }
+        return out;
+    }
+
     int mostMemoryMb() {
         return mostMemoryMb;
     }
--- a/src/main/java/wingspread/testbed/soak/Trial.java
+++ b/src/main/java/wingspread/testbed/soak/Trial.java
@@ -146,7 +146,7 @@
     }
 
     /** Lets all calls end, and then the processes. */
-    private void finish() throws InterruptedException {
+    private void finish() throws IOException, InterruptedException {
         onLoop(() -> {
             softswitches.forEach(s -> s.callers().end());
             return null;
@@ -173,6 +173,9 @@
             softswitches.forEach(SoftswitchHost::checkLimits);
             return null;
         });
+        for (SoftswitchHost softswitch : softswitches) {
+            softswitch.checkCounters();
+        }
     }
 
     private Result result() {
--- a/src/test/java/wingspread/ServeTest.java
+++ b/src/test/java/wingspread/ServeTest.java
@@ -339,6 +339,29 @@
         assertEquals(ID, told("end").get("call"));
     }
 
+    /** A release of a call from before a restart goes to a caller that is just closing: another one is told. */
+    @Test
+    void aReleaseThatCrossesTheCloseOfAnothersConnectionIsToldAgain() throws Exception {
+        offer("a".repeat(16));
+        answer(heard("INVITE"), 503);
+        heard("ACK");
+        told("end");
+        try (Wire<Map<?, ?>> leaving = connect()) {
+            Wire<Map<?, ?>> staying = caller;
+            caller = leaving;
+            offer("b".repeat(16));
+            answer(heard("INVITE"), 503);
+            heard("ACK");
+            told("end");
+            exchange.send(bye(ID, 16).encode());
+            assertEquals(200, exchange.next().status());
+            assertEquals(ID, told("end").get("call"));
+            leaving.reset();
+            caller = staying;
+        }
+        assertEquals(ID, told("end").get("call"));
+    }
+
     @Test
     void afterSigtermACallIsAnsweredBeforeSigkillWhateverTimeItsCallerLeaves() throws Exception {
         process.toHandle().destroy();
