--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -10,14 +10,10 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
@@ -48,12 +44,6 @@
     /** A caller sends its call with the connection; what says nothing for so long holds a descriptor for nothing. */
     private static final long LONGEST_MUTE = 2_500_000;
     private static final long LONGEST_PAUSE_MS = 2_200;
-    private static final int MOST_RELEASES = 4_096;
-    /** A release that was written so shortly before the close of its connection may not have been heard. */
-    private static final long CROSSING = 500_000;
-    private static final int MOST_TOLD = 1_024;
-    /** Of the second within which a caller must be told of a release. */
-    private static final long LONGEST_WAIT_FOR_OFFER = 500_000;
     /** The loop reads what is ready before it plays what is due so much later. */
     private static final long LOOK_AGAIN = 1_000;
     /** Milliseconds; guards the deadline against figures that would overflow it. */
@@ -69,26 +59,16 @@
     /** The connections, each with the calls that were offered on it and are open or stand. */
     private final Map<Channel, Calls> connections = new LinkedHashMap<>();
     private final Map<String, Leg> standing = new HashMap<>();
-    private final ArrayDeque<String> unsentReleases = new ArrayDeque<>();
-    /** The releases that went to other callers than their own last, oldest first. */
-    private final ArrayDeque<Told> told = new ArrayDeque<>();
+    private final OrphanedReleases orphans;
     private Channel listener;
     /** Connections that have come up. */
     private long accepted;
-    /** The connections on which calls were offered, the one that offered last at the end. */
-    private final Set<Channel> offering = new LinkedHashSet<>();
-    /**
-     * The same of those on which a call has come to stand. Guards against callers that offer what is turned away, and
-     * may not listen for other callers' calls.
-     */
-    private final Set<Channel> stood = new LinkedHashSet<>();
-    /** The connection on which a whole message came last; null before the first. */
-    private Channel heardLast;
 
     public JsonlFront(Loop loop, List<CallClass> classes, IntSupplier mostConnections, Consumer<Event> planner,
             BooleanSupplier ready, ReconnectFigures reconnects, Metrics metrics) {
         this.reconnects = reconnects;
         this.loop = loop;
+        this.orphans = new OrphanedReleases(loop, this::write);
         this.classes = classes;
         this.admission = new Admission(loop, mostConnections, LONGEST_MUTE, this::idle);
         this.planner = planner;
@@ -184,15 +164,11 @@
     @Override
     public void ended(Channel channel, CloseReason reason) {
         admission.ended(channel);
-        offering.remove(channel);
-        stood.remove(channel);
         Calls calls = connections.remove(channel);
         for (Leg leg : calls == null ? List.<Leg>of() : calls.open.values()) {
             post(new Event.GivenUp(leg.id, leg));
         }
-        if (reason == CloseReason.PEER_CLOSED || reason == CloseReason.RESET) {
-            tellAgain(channel);
-        }
+        orphans.ended(channel, reason);
     }
 
     /** A call that stood is over: its connection carries one less. */
@@ -216,7 +192,7 @@
     @Override
     public void received(Channel channel, Map<?, ?> message) throws BadInput {
         admission.heard(channel);
-        heardLast = channel;
+        orphans.heard(channel);
         String call = text(message, "call");
         switch (text(message, "op")) {
             case "offer" -> offer(channel, call, message);
@@ -252,9 +228,7 @@
         if (connections.get(channel).open.putIfAbsent(call, leg) != null) {
             throw new BadInput("JSON lines: the id of an open call comes again");
         }
-        offering.remove(channel);
-        offering.add(channel);
-        sendReleases(channel);
+        orphans.offeredOn(channel);
         post(new Event.Offered(new Request(call, text(with, "class"), callClass, text(with, "key"),
                 text(message, "desc").getBytes(StandardCharsets.ISO_8859_1),
                 loop.now() + (long) (Math.min(left, LONGEST_WAIT) * 1_000), extras.get("dest").intValue(),
@@ -319,87 +293,16 @@
         return out.append("}\n").toString();
     }
 
-    /**
-     * Tells that a call is over whose own connection is not there: of those that are up, the one that offered a call
-     * last carries it, or the next that does. Guards against connections that are held and say nothing, behind which
-     * nobody may read.
-     */
+    /** Tells that a call is over which this program has not set up. */
     @Override
     public void over(String call, int cause) {
-        release(offeredLast(), call, cause);
-    }
-
-    /** Of the connections that are up the one whose call stood last, else the one that offered last, or null. */
-    private Channel offeredLast() {
-        return last(stood).or(() -> last(offering)).orElse(null);
-    }
-
-    private Optional<Channel> last(Set<Channel> channels) {
-        return channels.stream().filter(this::up).reduce((earlier, later) -> later);
-    }
-
-    private void release(Channel channel, String call, int cause) {
-        String line = line("end", call, "", cause, null);
-        if (up(channel)) {
-            CALLS.debug("{} release told to caller {}", call, channel.remoteAddress());
-            tell(channel, line);
-        } else if (unsentReleases.size() < MOST_RELEASES) {
-            CALLS.info("{} release waits: no caller that has offered a call is connected", call);
-            unsentReleases.add(line);
-            loop.at(loop.now() + LONGEST_WAIT_FOR_OFFER, this::tellWhoeverIsThere);
-        } else {
-            CALLS.warn("{} release dropped: {} wait for a caller to connect", call, MOST_RELEASES);
-        }
+        orphans.tell(call, releaseLine(call, cause));
     }
 
-    /**
-     * Where nobody has offered a call for a while, releases go to the connection that was heard last, by a test say.
-     * Guards a program that was started a moment ago, to which callers have connected and offer nothing.
-     */
-    private void tellWhoeverIsThere() {
-        if (up(heardLast)) {
-            sendReleases(heardLast);
-        }
+    private static String releaseLine(String call, int cause) {
+        return line("end", call, "", cause, null);
     }
 
-    private void sendReleases(Channel channel) {
-        while (!unsentReleases.isEmpty()) {
-            tell(channel, unsentReleases.remove());
-        }
-    }
-
-    private void tell(Channel channel, String line) {
-        write(channel, line);
-        if (told.size() >= MOST_TOLD) {
-            told.remove();
-        }
-        told.add(new Told(channel, line, loop.now()));
-    }
-
-    /**
-     * Tells again, on another connection, what was told on one that has closed so soon after that it was not heard.
-     * Guards calls from before a restart: their releases go to whichever caller is there, who may be closing.
-     */
-    private void tellAgain(Channel closed) {
-        for (Told release : List.copyOf(told)) {
-            if (release.channel() == closed && release.at() + CROSSING >= loop.now()) {
-                told.remove(release);
-                unsentReleases.add(release.line());
-            }
-        }
-        if (!unsentReleases.isEmpty()) {
-            Channel other = offeredLast();
-            if (other != null) {
-                sendReleases(other);
-            } else {
-                loop.at(loop.now() + LONGEST_WAIT_FOR_OFFER, this::tellWhoeverIsThere);
-            }
-        }
-    }
-
-    /** The release of a call that was told on a connection which is not known to be the call's own. */
-    private record Told(Channel channel, String line, long at) { }
-
     private boolean up(Channel channel) {
         return connections.containsKey(channel) && channel.isActive();
     }
@@ -438,8 +341,7 @@
             Calls calls = connections.get(channel);
             if (calls != null) {
                 calls.standing++;
-                stood.remove(channel);
-                stood.add(channel);
+                orphans.stoodOn(channel);
                 standing.put(id, this);
             }
             answer(line("accept", id, "", -1, new String(description, StandardCharsets.ISO_8859_1)));
@@ -465,9 +367,9 @@
             JsonlFront.this.ended(standing.get(id));
             if (up(channel)) {
                 CALLS.debug("{} release told to its caller {}", id, channel.remoteAddress());
-                write(channel, line("end", id, "", cause, null));
+                write(channel, releaseLine(id, cause));
             } else {
-                release(offeredLast(), id, cause);
+                orphans.tell(id, releaseLine(id, cause));
             }
         }
 
