Look into an exchange's silence after 3 s in place of 1.5 s

Change: the first fresh connection comes after 3 s of silence. The limit of 7.4 s stays, and so does what it takes to count as down. Calls on exchanges that say little are cut by shorter partitions than before, from 4.4 s on. Measured: ExchangeLivenessTest, PlannerTest, VanishedExchangeTest pass.

--- a/src/main/java/wingspread/control/ExchangeLiveness.java
+++ b/src/main/java/wingspread/control/ExchangeLiveness.java
@@ -16,7 +16,7 @@
  */
 public final class ExchangeLiveness {
     /** Silence after which a fresh connection is asked for. */
-    static final long QUIET = 1_500_000;
+    static final long QUIET = 3_000_000;
     /** The same while the program ends: whoever is silent must be known before it exits. */
     static final long QUIET_AT_END = 300_000;
     /** From one fresh connection to the next, while nothing is heard. */
