Give messages of exchanges 0.4 s in all again; only callers may write slowly

A message that stops short was ended after 0.4 s; since slow writers may finish, bytes behind it counted as its going on, and releases among them were swallowed for up to 10 s.

--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -44,6 +44,7 @@
     /** A caller sends its call with the connection; what says nothing for so long holds a descriptor for nothing. */
     private static final long LONGEST_MUTE = 2_500_000;
     private static final long LONGEST_PAUSE_MS = 2_200;
+    private static final int MOST_PAUSES = 4;
     /** The loop reads what is ready before it plays what is due so much later. */
     private static final long LOOK_AGAIN = 1_000;
     /** Milliseconds; guards the deadline against figures that would overflow it. */
@@ -155,6 +156,11 @@
         return LONGEST_PAUSE_MS;
     }
 
+    @Override
+    public int mostPauses() {
+        return MOST_PAUSES;
+    }
+
     @Override
     public boolean owes(Channel channel) {
         Calls calls = connections.get(channel);
--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -31,6 +31,14 @@
             return LONGEST_PAUSE;
         }
 
+        /**
+         * Pauses that a message may take as long as bytes come. One is the least: what follows a message that has
+         * stopped short is bytes as well, and is swallowed for so long.
+         */
+        default int mostPauses() {
+            return 1;
+        }
+
         /** Whether something is owed on the connection: meanwhile no message that stops short closes it. */
         default boolean owes(Channel channel) {
             return false;
@@ -38,8 +46,6 @@
     }
 
     private static final long LONGEST_PAUSE = 400;
-    /** A message that goes on and on in pieces ends its connection after so many pauses. */
-    private static final int MOST_PAUSES = 25;
 
     private final String kind;
     private final FrameDecoder<M> decoder;
@@ -125,7 +131,7 @@
                 awaiting = false;
                 pauses = messages > messagesBefore ? 0 : pauses + 1;
                 boolean stopped = to > from && messages == messagesBefore
-                        && (received == receivedBefore || pauses >= MOST_PAUSES);
+                        && (received == receivedBefore || pauses >= owner.mostPauses());
                 if (stopped && !owner.owes(ctx.channel())) {
                     detail = " (a message that stops short)";
                     close(ctx.channel(), CloseReason.BAD_INPUT);
--- a/src/test/java/wingspread/net/MessageHandlerTest.java
+++ b/src/test/java/wingspread/net/MessageHandlerTest.java
@@ -18,6 +18,7 @@
 class MessageHandlerTest {
     private final List<Object> taken = new ArrayList<>();
     private boolean owed;
+    private int mostPauses = 1;
     private final EmbeddedChannel channel = new EmbeddedChannel(new MessageHandler<>("test", new LineDecoder(),
             new MessageHandler.Owner<Map<?, ?>>() {
                 @Override
@@ -30,6 +31,11 @@
                     taken.add(reason);
                 }
 
+                @Override
+                public int mostPauses() {
+                    return mostPauses;
+                }
+
                 @Override
                 public boolean owes(Channel from) {
                     return owed;
@@ -68,6 +74,7 @@
 
     @Test
     void aMessageThatComesSlowlyIsTakenButNotForEver() {
+        mostPauses = 25;
         for (String piece : "{\"slow\":\"writer\"}\n".split("")) {
             read(piece);
             pass(300);
@@ -83,6 +90,18 @@
         assertTrue(pieces > 25 && pieces <= 60, pieces + " pieces");
     }
 
+    /** What comes after a message that has stopped short must not be swallowed for long: it may be a release. */
+    @Test
+    void whatFollowsAMessageThatStopsShortDoesNotProlongIt() {
+        read("{");
+        for (int i = 0; i < 4; i++) {
+            pass(99);
+            read(" ");
+        }
+        pass(99);
+        assertFalse(channel.isOpen());
+    }
+
     /** An answer is owed on the connection: it is closed for the message that stops short once that is given. */
     @Test
     void whileSomethingIsOwedAMessageThatStopsShortClosesNothing() {
