--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -24,8 +24,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -574,17 +576,67 @@
         final Socket socket;
         private final OutputStream out;
 
-        Line(Socket socket) throws IOException {
+        /** What the exchange wrote and the network has not delivered yet; null without a delay. */
+        private final BlockingQueue<Sent> underWay;
+
+        /** A text on its way to the softswitch; null is the end of the connection. */
+        private record Sent(String text, long arrivesAt) { }
+
+        Line(Socket socket, long delayMillis) throws IOException {
             this.socket = socket;
             this.out = socket.getOutputStream();
+            this.underWay = delayMillis == 0 ? null : new LinkedBlockingQueue<>();
+            this.delayNanos = delayMillis * 1_000_000;
+            if (underWay != null) {
+                daemon(this::deliver);
+            }
         }
 
-        synchronized void send(String text) {
+        private final long delayNanos;
+
+        /** The network: delivers everything in order, each text after the one-way time. */
+        private void deliver() {
+            try {
+                while (true) {
+                    Sent next = underWay.take();
+                    long left = next.arrivesAt() - System.nanoTime();
+                    if (left > 0) {
+                        TimeUnit.NANOSECONDS.sleep(left);
+                    }
+                    if (next.text() == null) {
+                        socket.close();
+                        return;
+                    }
+                    write(next.text());
+                }
+            } catch (InterruptedException | IOException e) {
+                note("network: " + e);
+            }
+        }
+
+        void send(String text) {
+            if (underWay == null) {
+                write(text);
+            } else {
+                underWay.add(new Sent(text, System.nanoTime() + delayNanos));
+            }
+        }
+
+        /** Closes the connection after all that was sent on it. */
+        void close() throws IOException {
+            if (underWay == null) {
+                socket.close();
+            } else {
+                underWay.add(new Sent(null, System.nanoTime() + delayNanos));
+            }
+        }
+
+        private synchronized void write(String text) {
             try {
                 out.write(text.getBytes(StandardCharsets.ISO_8859_1));
                 out.flush();
             } catch (IOException e) {
-                // The connection has ended.
+                note("network: " + text.lines().findFirst().orElse("") + " meets a closed connection");
             }
         }
 
@@ -604,6 +656,8 @@
         final int place;
         final int port;
         final int circuits = 200;
+        /** How long what it sends is under way. */
+        volatile long oneWayMillis;
         volatile InviteHandler handler;
         final List<String> invites = new CopyOnWriteArrayList<>();
         final Map<String, Line> standing = new ConcurrentHashMap<>();
@@ -636,7 +690,7 @@
                 try {
                     Socket socket = from.accept();
                     socket.setTcpNoDelay(true);
-                    Line line = new Line(socket);
+                    Line line = new Line(socket, oneWayMillis);
                     lines.add(line);
                     note("exchange " + name + ": connection from port " + socket.getPort());
                     line.send(gauges());
@@ -722,6 +776,14 @@
         }
     }
 
+    /** Ends the process of an exchange in good order: no new connections, and the open ones close after their data. */
+    static void stop(Exchange exchange) throws IOException {
+        exchange.server.close();
+        for (Line line : exchange.lines) {
+            line.close();
+        }
+    }
+
     static final class Unreadable extends Exception {
         private static final long serialVersionUID = 1;
 
