Review case 2: a second copy of an error answer puts two set-ups of a call out

Cause: an answer of an exchange is paired with a call's attempt by Call-ID alone. After an error the call goes to the same exchange again at once, and a copy of the error that comes some milliseconds late ends the new attempt, which is still out; the call is then sent a third time.

Nothing of the program is changed.

--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -571,6 +571,11 @@
         void invite(Exchange exchange, Line line, Sip invite);
     }
 
+    /** Hears which set-ups are given up. */
+    interface CancelHandler {
+        void cancelled(String call);
+    }
+
     /** One connection to an exchange. */
     final class Line {
         final Socket socket;
@@ -659,6 +664,9 @@
         /** How long what it sends is under way. */
         volatile long oneWayMillis;
         volatile InviteHandler handler;
+        volatile CancelHandler cancelHandler;
+        /** Whether every set-up, answer and release is written to the record. */
+        volatile boolean noteEach = true;
         final List<String> invites = new CopyOnWriteArrayList<>();
         final Map<String, Line> standing = new ConcurrentHashMap<>();
         final Map<String, Double> acked = new ConcurrentHashMap<>();
@@ -730,20 +738,30 @@
             note("exchange " + name + ": connection ended");
         }
 
+        private void noteCall(String text) {
+            if (noteEach) {
+                note("exchange " + name + ": " + text);
+            }
+        }
+
         private void handle(Line line, Sip message) {
             switch (message.method()) {
                 case "INVITE" -> {
                     invites.add(message.callId());
-                    note("exchange " + name + ": INVITE for call " + message.callId() + ", " + message.first());
+                    noteCall("INVITE for call " + message.callId() + ", " + message.first());
                     handler.invite(this, line, message);
                 }
                 case "ACK" -> acked.putIfAbsent(message.callId(), seconds());
                 case "CANCEL" -> {
                     note("exchange " + name + ": CANCEL of " + message.callId());
+                    CancelHandler present = cancelHandler;
+                    if (present != null) {
+                        present.cancelled(message.callId());
+                    }
                     line.answer(message, 200, "", "");
                 }
                 case "BYE" -> {
-                    note("exchange " + name + ": BYE of " + message.callId());
+                    noteCall("BYE of " + message.callId());
                     standing.remove(message.callId());
                     line.answer(message, 200, "", "");
                 }
@@ -754,7 +772,7 @@
         /** Answers a set-up: the call stands. */
         void establish(Line line, Sip invite, String description) {
             standing.put(invite.callId(), line);
-            note("exchange " + name + ": 200 for call " + invite.callId());
+            noteCall("200 for call " + invite.callId());
             line.answer(invite, 200, "X-Gauges: " + report() + "\r\n", description);
         }
 
@@ -765,10 +783,11 @@
         void release(String call, int cause) {
             Line line = standing.remove(call);
             String bye = "BYE sip:call@net SIP/2.0\r\nVia: SIP/2.0/TCP " + name + "\r\nCall-ID: " + call
-                    + "\r\nCSeq: 1 BYE\r\nReason: Q.850;cause=" + cause + "\r\nContent-Length: 0\r\n\r\n";
+                    + "\r\nCSeq: 1 BYE\r\nReason: Q.850;cause=" + cause + "\r\nX-Gauges: " + report()
+                    + "\r\nContent-Length: 0\r\n\r\n";
             releases.put(call, bye);
             Line open = line != null && lines.contains(line) ? line : lines.stream().findFirst().orElse(null);
-            note("exchange " + name + ": releases call " + call + " with cause " + cause
+            noteCall("releases call " + call + " with cause " + cause
                     + (open == null ? ", no connection is open" : ""));
             if (open != null) {
                 open.send(bye);
