--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -73,11 +73,11 @@
         }
         kit.note("usual calls offered " + offered + ", answered " + answered + "; bad offers sent " + bad.get()
                 + ", turned away " + turnedAway.get());
-        softswitch.waitForEnd(1_000);
+        softswitch.waitForEnd(5_000);
         if (!softswitch.alive()) {
             kit.finish(Kit.RULE_BROKEN, "the softswitch has ended by itself with exit code " + softswitch.exitCode());
         }
-        kit.finish(Kit.RULE_HELD, "the softswitch runs");
+        kit.finish(answered == 0 ? Kit.COULD_NOT_RUN : Kit.RULE_HELD, "the softswitch runs");
     }
 
     private static void offerAgain(Kit.Caller client, AtomicInteger count) {
--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -99,6 +99,9 @@
         for (Softswitch softswitch : softswitches) {
             softswitch.kill();
         }
+        for (Softswitch softswitch : softswitches) {
+            softswitch.awaitKilled();
+        }
         try (Stream<Path> files = Files.walk(temporary)) {
             files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
         } catch (IOException e) {
@@ -228,6 +231,16 @@
             }
         }
 
+        private void awaitKilled() {
+            try {
+                if (process != null) {
+                    process.waitFor(2, TimeUnit.SECONDS);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
         /** Waits until the softswitch passes a test, as the front does before it admits one. */
         boolean awaitReady(long millis) {
             long until = System.nanoTime() + millis * 1_000_000;
@@ -645,7 +658,7 @@
             }
         }
 
-        /** Answers a request; the headers of the answer are those that RFC 3261 section 8.2.6.2 copies. */
+        /** Answers a request; it brings back the headers that RFC 3261 wants copied from it. */
         void answer(Sip request, int status, String extraHeaders, String body) {
             StringBuilder text = new StringBuilder("SIP/2.0 " + status + " Answer\r\n");
             for (String name : List.of("Via", "From", "To", "Call-ID", "CSeq")) {
