Print what is kept in memory beside the counters

Change: Metrics has gauges, read when they are printed. The planner registers kept.calls, kept.description-bytes, kept.ended-calls and kept.timers, the program kept.heap-bytes. SIGURG and the exit print them behind the counters.

--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -91,9 +91,14 @@
                 config.seed(), reconnects, this::post, metrics));
         this.recorder = record == null ? null : record.start(startedAt, settings.settings().ownPlace(),
                 settings.settings().softswitches(), classNames(settings.settings()));
+        metrics.addGauge("kept.heap-bytes", Softswitch::usedHeapBytes);
         loop.addWorker(planner);
     }
 
+    private static long usedHeapBytes() {
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     private static List<String> classNames(Settings settings) {
         return settings.classes().stream().map(CallClass::name).toList();
     }
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -113,6 +113,10 @@
         this.exchangeMonitor = new ExchangeMonitor(clock, deadlines, exchanges,
                 (exchange, silenceMicros) -> actions.add(() -> exchangeUnresponsive(exchange, silenceMicros)));
         this.control = new WindowControl(clock.getAsLong(), settings, parameters, seed, this);
+        metrics.addGauge("kept.calls", byId::size);
+        metrics.addGauge("kept.description-bytes", () -> descriptionBytes);
+        metrics.addGauge("kept.ended-calls", endedCallIds::size);
+        metrics.addGauge("kept.timers", deadlines::size);
     }
 
     /** Queues an event for the next turn. */
--- a/src/main/java/wingspread/turn/Deadlines.java
+++ b/src/main/java/wingspread/turn/Deadlines.java
@@ -36,4 +36,9 @@
     public long next() {
         return entries.isEmpty() ? Long.MAX_VALUE : entries.peek().at();
     }
+
+    /** Returns the number of tasks in the queue. */
+    public int size() {
+        return entries.size();
+    }
 }
