Cancel the timers of a call with its final answer

Cause: tasks of turn.Deadlines could not be removed. Each call added two, Planner.callOffered one that refers to the call, its request and its caller, and WindowControl.onCall one through Host.setTimer. The bounds of open calls do not count them. Evidence: kept.timers=277642 at 138,818 refusals with one open call; class histogram with 139,039 of each lambda. Change: Deadlines.add returns a Timer, which leaves the queue when it is cancelled. CallState.markAnswered cancels the timers of the call, an Attempt its time-out with its end. Host.setCallTimer names the call, so the call control's timers end with it; on the simulator's wire it is the old message. Why it works: what is kept depends on open calls, which are bounded, and on no figure of the client's. The call control ignored timers of closed calls before, so no decision changes. Failed before, pass now: PlannerTest.keepsNoTimersOfEndedCallsWithFarDeadlines (2 timers after the first call), BadClientMemoryTest (connection reset after 2.6 s).

--- a/src/main/java/wingspread/control/CallControl.java
+++ b/src/main/java/wingspread/control/CallControl.java
@@ -48,7 +48,7 @@
      */
     void onReport(long now, long exchange, Status status, long elapsed, Report report);
 
-    /** Handles the expiry of a timer that was set through {@link Host#setTimer}. */
+    /** Handles the expiry of a timer, set by {@link Host#setTimer} or {@link Host#setCallTimer}. */
     void onTimer(long now, long token);
 
     /** Handles a message from another softswitch. */
@@ -80,6 +80,12 @@
         /** Schedules a call of {@link CallControl#onTimer} with the token. */
         void setTimer(long at, long token);
 
+        /**
+         * Like {@link #setTimer}, for a timer that concerns one call only. It need not expire once the call
+         * has its final answer, so that a host does not keep it for calls that have ended.
+         */
+        void setCallTimer(long call, long at, long token);
+
         /** Requests a health report from an exchange. */
         void probe(long exchange);
 
--- a/src/main/java/wingspread/control/WindowControl.java
+++ b/src/main/java/wingspread/control/WindowControl.java
@@ -210,7 +210,7 @@
                     + 1_000_000 / parameters.rateTimeConstantMicros;
             ownCallRateAt = now;
         }
-        host.setTimer(Math.max(now, call.deadline() - parameters.answerMarginMicros),
+        host.setCallTimer(call.id(), Math.max(now, call.deadline() - parameters.answerMarginMicros),
                 token(TOKEN_DEADLINE, call.id()));
         route(now, state);
     }
@@ -405,7 +405,7 @@
                 at--;
             }
             heldCalls.add(at, state);
-            host.setTimer(state.holdUntil, token(TOKEN_HOLD_END, state.call.id()));
+            host.setCallTimer(state.call.id(), state.holdUntil, token(TOKEN_HOLD_END, state.call.id()));
         }
     }
 
@@ -633,7 +633,7 @@
         if (noFurtherAttempt || state.retryNotBefore >= state.aimAt) {
             refuse(state, 0);
         } else if (state.retryNotBefore > now) {
-            host.setTimer(state.retryNotBefore, token(TOKEN_RETRY, state.call.id()));
+            host.setCallTimer(state.call.id(), state.retryNotBefore, token(TOKEN_RETRY, state.call.id()));
         } else {
             route(now, state);
         }
--- a/src/main/java/wingspread/core/Attempt.java
+++ b/src/main/java/wingspread/core/Attempt.java
@@ -1,5 +1,7 @@
 package wingspread.core;
 
+import wingspread.turn.Deadlines;
+
 /**
  * One set-up of a call toward an exchange, withdrawn at its deadline. All times are microseconds on the host's clock.
  */
@@ -14,6 +16,8 @@
     private final long deadline;
     private State state = State.PENDING;
     private long establishedAt;
+    /** Withdraws the set-up at its deadline; null if it was never sent. */
+    private Deadlines.Timer timeout;
 
     Attempt(Request request, long callNumber, int index, long exchange, long sentAt, long deadline) {
         this.request = request;
@@ -60,10 +64,16 @@
         return state == State.ESTABLISHED;
     }
 
+    /** Sets the timer that withdraws the set-up. It is cancelled once the set-up is answered or ends. */
+    void setTimeout(Deadlines.Timer timer) {
+        timeout = timer;
+    }
+
     /** Marks the set-up as answered by the exchange. */
     void establish(long now) {
         state = State.ESTABLISHED;
         establishedAt = now;
+        cancelTimeout();
     }
 
     /** Returns when the exchange answered the set-up; undefined before that. */
@@ -73,5 +83,13 @@
 
     void end() {
         state = State.ENDED;
+        cancelTimeout();
+    }
+
+    private void cancelTimeout() {
+        if (timeout != null) {
+            timeout.cancel();
+            timeout = null;
+        }
     }
 }
--- a/src/main/java/wingspread/core/CallState.java
+++ b/src/main/java/wingspread/core/CallState.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import wingspread.storm.CallOffer;
+import wingspread.turn.Deadlines;
 
 /**
  * The state of a call from its arrival until nothing is pending for it: the request, the caller's side, the attempts,
@@ -14,7 +15,9 @@
     /** Identifies the call to the call control. */
     final long callNumber;
     final List<Attempt> attempts = new ArrayList<>(1);
-    boolean answered;
+    /** The timers that concern the call until it has its final answer. */
+    private final List<Deadlines.Timer> timers = new ArrayList<>(2);
+    private boolean answered;
     /** Whether the call control has requested a set-up that has not been sent yet. */
     boolean sendRequested;
     /** The call as the storm gate counts it; null if there is no storm gate, and for calls in transit. */
@@ -26,6 +29,27 @@
         this.callNumber = callNumber;
     }
 
+    /** Adds a timer, which is cancelled when the call gets its final answer. */
+    void addTimer(Deadlines.Timer timer) {
+        if (answered) {
+            timer.cancel();
+        } else {
+            timers.add(timer);
+        }
+    }
+
+    /** Marks the call as having its final answer, or as needing none, and cancels its timers. */
+    void markAnswered() {
+        answered = true;
+        timers.forEach(Deadlines.Timer::cancel);
+        timers.clear();
+    }
+
+    /** Whether the call needs no final answer any longer. */
+    boolean isAnswered() {
+        return answered;
+    }
+
     /** Returns the last attempt; null before the first. */
     Attempt lastAttempt() {
         return attempts.isEmpty() ? null : attempts.get(attempts.size() - 1);
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -151,8 +151,8 @@
         answerDeadline = Math.min(answerDeadline, latest);
         exchangeMonitor.expediteChecks();
         for (CallState state : byId.values()) {
-            if (!state.answered && state.request.deadline() > answerDeadline) {
-                deadlines.add(answerDeadline, () -> actions.add(() -> answerOverdue(state)));
+            if (!state.isAnswered() && state.request.deadline() > answerDeadline) {
+                state.addTimer(deadlines.add(answerDeadline, () -> actions.add(() -> answerOverdue(state))));
             }
         }
     }
@@ -164,7 +164,7 @@
 
     /** Returns the number of calls that have no final answer yet. */
     public long unansweredCalls() {
-        return byId.values().stream().filter(state -> !state.answered).count();
+        return byId.values().stream().filter(state -> !state.isAnswered()).count();
     }
 
     /**
@@ -291,7 +291,7 @@
         byId.put(request.id(), state);
         byNumber.put(state.callNumber, state);
         descriptionBytes += request.description().length;
-        deadlines.add(request.deadline(), () -> actions.add(() -> answerOverdue(state)));
+        state.addTimer(deadlines.add(request.deadline(), () -> actions.add(() -> answerOverdue(state))));
         control.onCall(now, new CallControl.Call(state.callNumber, request.callClass(), parseNumber(request.number()),
                 request.deadline(), request.destination(), request.width(), request.via(), request.redial(),
                 request.transit(), request.cut()));
@@ -310,7 +310,7 @@
      * that the call control has already requested.
      */
     private void answerOverdue(CallState state) {
-        if (!state.answered) {
+        if (!state.isAnswered()) {
             boolean shutdown = state.request.deadline() > answerDeadline;
             LOG.warn("call {} reached {} without an answer", state.request.id(),
                     shutdown ? "the shutdown deadline" : "its deadline");
@@ -352,12 +352,12 @@
         if (state == null || state.caller != caller) {
             return;
         }
-        if (state.answered) {
+        if (state.isAnswered()) {
             callerReleased(now, id, CAUSE_NORMAL_CLEARING);
         } else {
             metrics.count("taken.given-up");
             log.answered(id, "abandoned", AnswerReason.CALLER_GAVE_UP, state.attempts.size());
-            state.answered = true;
+            state.markAnswered();
             state.caller.onAbandoned();
             recordFailedOffer(state);
             control.onCallDropped(now, state.callNumber);
@@ -373,7 +373,7 @@
         CallState state = byId.get(event.call());
         // The answer may have crossed a CANCEL or a time-out of this side. The exchange then regards the call as
         // established and would keep its circuits, although no caller waits for it.
-        if (attempt == null || !attempt.isPending() || state.answered) {
+        if (attempt == null || !attempt.isPending() || state.isAnswered()) {
             metrics.count("sent.crossed-releases");
             log.lateAnswer(event.call(), event.exchange());
             exchanges.release(event.exchange(), event.call(), CAUSE_NORMAL_CLEARING);
@@ -502,7 +502,7 @@
     }
 
     private void reportOutcome(long now, CallState state, Attempt attempt, Status status, Cause cause, Report report) {
-        control.onOutcome(now, new Outcome(state.callNumber, attempt.index(), state.answered, attempt.exchange(),
+        control.onOutcome(now, new Outcome(state.callNumber, attempt.index(), state.isAnswered(), attempt.exchange(),
                 now - attempt.sentAt(), status, cause, 0, report));
     }
 
@@ -523,7 +523,7 @@
      * unanswered forever.
      */
     private void removeIfDone(CallState state) {
-        if (state.answered && !state.sendRequested && !state.hasPendingAttempt() && !state.isEstablished()) {
+        if (state.isAnswered() && !state.sendRequested && !state.hasPendingAttempt() && !state.isEstablished()) {
             byId.remove(state.request.id());
             rememberEnded(state.request.id());
             if (byNumber.remove(state.callNumber) != null) {
@@ -541,7 +541,7 @@
     }
 
     private void answer(CallState state, String kind, Runnable notification) {
-        state.answered = true;
+        state.markAnswered();
         metrics.count("answered." + kind);
         notification.run();
         removeIfDone(state);
@@ -565,7 +565,7 @@
                 Math.min(deadline, state.request.deadline()));
         // Enforces the platform's rules whatever the call control requests: no set-up while another one is pending,
         // none for an answered call, none beyond the maximum number of attempts, none to an unlisted exchange.
-        if (state.answered || state.hasPendingAttempt() || attempt.index() >= settings.maxAttempts()
+        if (state.isAnswered() || state.hasPendingAttempt() || attempt.index() >= settings.maxAttempts()
                 || !startTimes.containsKey(exchange) || attempt.deadline() <= now) {
             metrics.count("ended.MOOT.unsent");
             if (!state.hasPendingAttempt()) {
@@ -575,7 +575,7 @@
             return;
         }
         state.attempts.add(attempt);
-        deadlines.add(attempt.deadline(), () -> attemptTimedOut(attempt));
+        attempt.setTimeout(deadlines.add(attempt.deadline(), () -> attemptTimedOut(attempt)));
         metrics.count("sent.set-ups");
         log.attemptSent(attempt);
         exchanges.invite(attempt);
@@ -605,7 +605,7 @@
     /** Gives a call its final answer unless it already has one. */
     private void answerIfOpen(long call, String kind, Consumer<CallState> notification) {
         CallState state = byNumber.get(call);
-        if (state != null && !state.answered) {
+        if (state != null && !state.isAnswered()) {
             log.answered(state.request.id(), kind, AnswerReason.DECIDED, state.attempts.size());
             answer(state, kind, () -> notification.accept(state));
         }
@@ -627,6 +627,14 @@
         deadlines.add(at, () -> control.onTimer(clock.getAsLong(), token));
     }
 
+    @Override
+    public void setCallTimer(long call, long at, long token) {
+        CallState state = byNumber.get(call);
+        if (state != null) {
+            state.addTimer(deadlines.add(at, () -> control.onTimer(clock.getAsLong(), token)));
+        }
+    }
+
     @Override
     public void probe(long exchange) {
         LOG.warn("ignoring a probe of exchange {}: this platform does not allow probes", exchange);
--- a/src/main/java/wingspread/wirehost/Instance.java
+++ b/src/main/java/wingspread/wirehost/Instance.java
@@ -79,6 +79,12 @@
         reply.setTimer(id, at - now, token);
     }
 
+    /** Sets a timer without the call: the simulator's wire has no cancellation of timers. */
+    @Override
+    public void setCallTimer(long call, long at, long token) {
+        setTimer(at, token);
+    }
+
     @Override
     public void probe(long exchange) {
         reply.probe(id, exchange);
--- /dev/null
+++ b/src/test/java/wingspread/BadClientMemoryTest.java
@@ -0,0 +1,94 @@
+package wingspread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import wingspread.testing.Wire;
+
+/** Runs the program with the heap of the deploy file, against clients that send far more than it holds. */
+class BadClientMemoryTest extends ServeFixture {
+    private static final int BATCHES = 60;
+    private static final int CALLS_PER_BATCH = 200;
+    /** All batches together hold 144 MB, nearly twice the heap. */
+    private static final int PADDING_CHARS = 12_000;
+
+    private long nextCall = 1;
+
+    @Override
+    List<String> javaCommand() {
+        List<String> command = new ArrayList<>(super.javaCommand());
+        command.add(maxHeapOption());
+        command.add("-XX:+ExitOnOutOfMemoryError");
+        return command;
+    }
+
+    private static String maxHeapOption() {
+        try {
+            Matcher option = Pattern.compile("-Xmx\\w+").matcher(Files.readString(Path.of("deploy/balancer.toml")));
+            assertTrue(option.find(), "no maximum heap in the deploy file");
+            return option.group();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Reads the log, since the program would wait for a pipe that is full. */
+    @BeforeEach
+    void discardLog() {
+        Thread reader = new Thread(() -> {
+            try {
+                process.getInputStream().transferTo(OutputStream.nullOutputStream());
+            } catch (IOException e) {
+                // The process has ended.
+                return;
+            }
+        }, "log");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private String newCallId() {
+        return String.format("%016x", nextCall++);
+    }
+
+    /** An offer for a place that no exchange has, which is refused at once. */
+    private static String refusedOffer(String id, String remainingMs, String description) {
+        return "{\"op\":\"offer\",\"call\":\"" + id + "\",\"with\":{\"class\":\"plain\",\"left\":\"" + remainingMs
+                + "\",\"key\":\"00FF\",\"extras\":\"dest:9999;width:1;via:-1\"},\"desc\":\"" + description + "\"}\n";
+    }
+
+    private void offerRefusedCalls(Wire<Map<?, ?>> client, String remainingMs) throws Exception {
+        String description = "x".repeat(PADDING_CHARS);
+        for (int batch = 0; batch < BATCHES; batch++) {
+            StringBuilder offers = new StringBuilder();
+            for (int i = 0; i < CALLS_PER_BATCH; i++) {
+                offers.append(refusedOffer(newCallId(), remainingMs, description));
+            }
+            client.send(offers.toString());
+            for (int i = 0; i < CALLS_PER_BATCH; i++) {
+                assertEquals(42.0, client.next().get("why"));
+            }
+        }
+    }
+
+    /** Guards against an OutOfMemoryError by refused calls that were kept until the deadline their client named. */
+    @Test
+    void servesUsualCallersAfterManyRefusedCallsWithFarDeadlines() throws Exception {
+        try (Wire<Map<?, ?>> client = connect()) {
+            offerRefusedCalls(client, "1000000000000");
+            establishCall(CALL_ID);
+        }
+    }
+}
--- a/src/test/java/wingspread/control/RecordingHost.java
+++ b/src/test/java/wingspread/control/RecordingHost.java
@@ -188,6 +188,12 @@
         timers.add(new Timer(at, nextOrder++, token));
     }
 
+    /** Keeps the timer, whether or not the call is answered: the control must not depend on its cancellation. */
+    @Override
+    public void setCallTimer(long call, long at, long token) {
+        setTimer(at, token);
+    }
+
     @Override
     public void probe(long exchange) {
         actions.add("probe " + exchange);
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -28,6 +28,9 @@
 class PlannerTest {
     private static final long TARGET_MICROS = 1_500_000;
     private static final long TIME_LEFT_MICROS = 3_000_000;
+    private static final long DAY_MICROS = 86_400_000_000L;
+    /** The ways of {@link #runCallToItsEnd}. */
+    private static final int WAYS_TO_END = 6;
     private static final byte[] DESCRIPTION = {'v', '=', '0', '\r', '\n', (byte) 0xe9};
 
     private final List<String> recorded = new ArrayList<>();
@@ -112,6 +115,10 @@
                 false, false, true, false, false, true, 2_000_000, 6, 200_000, 0,
                 new Obligations(20_000, 500_000, 0, 0.3, 14_000_000, 2, 1_000_000));
         planner = new Planner(() -> now, settings, ControlParameters.DEFAULTS, 7, 3, endpoint, endpoint, new Metrics());
+        listExchanges();
+    }
+
+    private void listExchanges() {
         planner.post(new Event.Listed(ListKind.CACHED, List.of(exchange(1, Readiness.READY, 0),
                 exchange(2, Readiness.READY, 0))));
         planner.post(new Event.Reported(1, reportWithFree(20)));
@@ -433,4 +440,51 @@
         process(new Event.Rejected(1, "a", Status.FULL, Cause.PROCESSOR_FULL, Report.EMPTY));
         assertRecorded();
     }
+
+    private void offerWithFarDeadline(String id, int destination) {
+        process(new Event.Offered(new Request(id, "plain", 0, id, DESCRIPTION, now + DAY_MICROS, destination, 1, -1,
+                false, false, false), endpoint));
+    }
+
+    /** Runs one call from its offer to its end, in the way that the index selects. */
+    private void runCallToItsEnd(String id, int way) {
+        process(new Event.Reported(1, reportWithFree(20)));
+        offerWithFarDeadline(id, way == 0 ? 9 : 1);
+        switch (way) {
+            case 0 -> { }
+            case 1 -> process(new Event.Rejected(1, id, Status.ERROR, Cause.LINES_BUSY, Report.EMPTY));
+            case 2 -> {
+                process(new Event.Answered(1, id, DESCRIPTION));
+                process(new Event.Released(1, id, 16, Report.EMPTY));
+            }
+            case 3 -> {
+                process(new Event.Answered(1, id, DESCRIPTION));
+                process(new Event.CallerReleased(id, 16));
+            }
+            case 4 -> process(new Event.CallerAbandoned(id, endpoint));
+            default -> advance(TARGET_MICROS);
+        }
+    }
+
+    /**
+     * Guards against an OutOfMemoryError by ended calls, to which timers of the planner and of the call control
+     * referred until the deadline that the client named.
+     */
+    @Test
+    void keepsNoTimersOfEndedCallsWithFarDeadlines() {
+        Metrics metrics = new Metrics();
+        planner = new Planner(() -> now, settings, ControlParameters.DEFAULTS, 7, 3, endpoint, endpoint, metrics);
+        listExchanges();
+        for (int way = 0; way < WAYS_TO_END; way++) {
+            for (int i = 0; i < 100; i++) {
+                runCallToItsEnd("way " + way + " call " + i, way);
+                assertEquals(0, metrics.value("kept.calls"), "open calls after way " + way);
+                // The monitor of the exchange with established calls has one timer.
+                assertTrue(metrics.value("kept.timers") <= 1, metrics + " after way " + way + " call " + i);
+            }
+        }
+        assertTrue(metrics.value("answered.refused") >= 100, metrics::toString);
+        assertEquals(200, metrics.value("answered.stood"), metrics::toString);
+        assertEquals(0, metrics.value("kept.description-bytes"), metrics::toString);
+    }
 }
