Stop the SIP timers of transactions and dialogs that have ended

Seen by callers: nothing on the platform, where the SIP front is off. Where it is on, a TCP client that is answered 404 and acknowledges it at full speed keeps every such transaction, with its request, for 32 s: the bound of 4,096 transactions counts those not terminated. A terminated INVITE transaction, an acknowledged or ended dialog and an answered request of ours stayed referred to until 64 T1, each retransmission until its next sending. Change: Timers.at and Timers.retransmit return handles. ServerTransaction stops both with its end, Dialog with the ACK or its end, TransactionLayer with the final response. Conditions that only asked whether a fired timer still applied went. Measured: SipFrontTest.keepsNoTimersOfEndedTransactionsAndDialogs failed before (4 timers kept over TCP in place of 2) and passes; SipFrontTest, LossyLoopbackTest, SipServiceTest and SipDecoderTest pass. Found by reading; not played with a flood on sockets.

--- a/src/main/java/wingspread/sip/Dialog.java
+++ b/src/main/java/wingspread/sip/Dialog.java
@@ -1,6 +1,7 @@
 package wingspread.sip;
 
 import java.util.List;
+import wingspread.turn.Deadlines;
 
 /** A dialog (RFC 3261, section 12) on the side of the callee, identified by its Call-ID and both tags. */
 public final class Dialog {
@@ -17,7 +18,10 @@
     private long remoteCseq;
     private long localCseq;
     private boolean confirmed;
-    private boolean ended;
+    /** The retransmission of the 2xx response; null before it is sent. */
+    private Timers.Retransmission retransmission;
+    /** Expires if no ACK is received; null before the 2xx response is sent. */
+    private Deadlines.Timer ackTimeout;
 
     /**
      * Creates the dialog that a 2xx response establishes.
@@ -80,23 +84,21 @@
      */
     public void accept(SipMessage ok, Peer invitePeer, Runnable onAckTimeout) {
         long until = timers.now() + Timers.TRANSACTION_TIMEOUT_MICROS;
-        timers.retransmit(Timers.T2_MICROS, until, () -> {
-            boolean awaitingAck = !confirmed && !ended;
-            if (awaitingAck) {
-                invitePeer.send(ok);
-            }
-            return awaitingAck;
-        });
-        timers.at(until, () -> {
-            if (!confirmed && !ended) {
-                onAckTimeout.run();
-            }
-        });
+        retransmission = timers.retransmit(until, () -> invitePeer.send(ok));
+        ackTimeout = timers.at(until, onAckTimeout);
+    }
+
+    private void stopAwaitingAck() {
+        retransmission.stop();
+        ackTimeout.cancel();
     }
 
     /** Handles an ACK that belongs to this dialog; only one with the CSeq number of the INVITE confirms it. */
     public void acknowledged(SipMessage ack) {
-        confirmed |= ack.cseq() == inviteCseq;
+        if (ack.cseq() == inviteCseq) {
+            confirmed = true;
+            stopAwaitingAck();
+        }
     }
 
     /**
@@ -118,7 +120,7 @@
 
     /** Marks the dialog as ended, which stops the retransmissions of the 2xx response. */
     public void end() {
-        ended = true;
+        stopAwaitingAck();
     }
 
     /** Returns the peer to which requests of this dialog are sent. */
--- a/src/main/java/wingspread/sip/ServerTransaction.java
+++ b/src/main/java/wingspread/sip/ServerTransaction.java
@@ -1,5 +1,7 @@
 package wingspread.sip;
 
+import wingspread.turn.Deadlines;
+
 /**
  * A server transaction (RFC 3261, section 17.2) with the Accepted state of RFC 6026: it absorbs retransmitted requests
  * and retransmits its final response until that is acknowledged.
@@ -14,6 +16,10 @@
     private State state = State.PROCEEDING;
     /** The last response sent; null before the first. */
     private SipMessage lastResponse;
+    /** Terminates the transaction; null before the final response. */
+    private Deadlines.Timer timeout;
+    /** The retransmission of the final response; null if there is none. */
+    private Timers.Retransmission retransmission;
 
     ServerTransaction(SipMessage request, Peer peer, Timers timers, Runnable onTerminated) {
         this.request = request;
@@ -57,28 +63,16 @@
         if (response.status() < 200) {
             return;
         }
+        state = isInvite() && response.status() < 300 ? State.ACCEPTED : State.COMPLETED;
         long until = timers.now() + Timers.TRANSACTION_TIMEOUT_MICROS;
-        if (!isInvite()) {
-            state = State.COMPLETED;
-            timers.at(peer.reliable() ? timers.now() : until, this::terminate);
-        } else if (response.status() < 300) {
-            state = State.ACCEPTED;
-            timers.at(until, this::terminate);
-        } else {
-            state = State.COMPLETED;
-            if (!peer.reliable()) {
-                timers.retransmit(Timers.T2_MICROS, until, this::retransmitResponse);
-            }
-            timers.at(until, this::terminate);
+        if (!isInvite() && peer.reliable()) {
+            terminateAt(timers.now());
+            return;
         }
-    }
-
-    private boolean retransmitResponse() {
-        if (state != State.COMPLETED) {
-            return false;
+        terminateAt(until);
+        if (isInvite() && state == State.COMPLETED && !peer.reliable()) {
+            retransmission = timers.retransmit(until, () -> peer.send(lastResponse));
         }
-        peer.send(lastResponse);
-        return true;
     }
 
     /**
@@ -95,14 +89,25 @@
     void acknowledged() {
         if (state == State.COMPLETED && isInvite()) {
             state = State.CONFIRMED;
-            timers.at(peer.reliable() ? timers.now() : timers.now() + Timers.T4_MICROS, this::terminate);
+            stopTimers();
+            terminateAt(peer.reliable() ? timers.now() : timers.now() + Timers.T4_MICROS);
         }
     }
 
-    private void terminate() {
-        if (state != State.TERMINATED) {
-            state = State.TERMINATED;
-            onTerminated.run();
+    private void terminateAt(long time) {
+        timeout = timers.at(time, this::terminate);
+    }
+
+    private void stopTimers() {
+        timeout.cancel();
+        if (retransmission != null) {
+            retransmission.stop();
         }
     }
+
+    private void terminate() {
+        state = State.TERMINATED;
+        stopTimers();
+        onTerminated.run();
+    }
 }
--- a/src/main/java/wingspread/sip/Timers.java
+++ b/src/main/java/wingspread/sip/Timers.java
@@ -4,7 +4,10 @@
 import wingspread.turn.Deadlines;
 import wingspread.turn.Worker;
 
-/** The timers of the transaction layer. They are not cancelled; a task checks whether it still applies when it runs. */
+/**
+ * The timers of the transaction layer. A timer is cancelled with what it belongs to, so that messages and transactions
+ * that have ended are not kept until the timer would have expired.
+ */
 public final class Timers implements Worker {
     /** T1 of RFC 3261, table 4, in microseconds: the estimate of the round-trip time. */
     public static final long T1_MICROS = 500_000;
@@ -33,36 +36,52 @@
     }
 
     /** Schedules a task for a time of the clock. */
-    public void at(long time, Runnable task) {
-        deadlines.add(time, task);
+    public Deadlines.Timer at(long time, Runnable task) {
+        return deadlines.add(time, task);
+    }
+
+    /** Returns the number of timers that have neither expired nor been cancelled. */
+    public int size() {
+        return deadlines.size();
     }
 
     /**
-     * Retransmits a message, first after T1 and then at doubling intervals.
+     * Retransmits a message, first after T1 and then at intervals that double up to T2, until it is stopped.
      *
-     * @param maxInterval the maximum interval in microseconds
-     * @param until the time at which retransmission stops at the latest
+     * @param until the time at which the retransmission stops at the latest
      */
-    void retransmit(long maxInterval, long until, Retransmission retransmission) {
-        scheduleRetransmission(T1_MICROS, maxInterval, until, retransmission);
+    Retransmission retransmit(long until, Runnable sender) {
+        Retransmission retransmission = new Retransmission(until, sender);
+        retransmission.scheduleNext(T1_MICROS);
+        return retransmission;
     }
 
-    /** The retransmission of a message. */
-    @FunctionalInterface
-    interface Retransmission {
-        /** Sends the message again if that is still necessary, and returns whether it was. */
-        boolean send();
-    }
+    /** The repeated sending of a message. */
+    final class Retransmission {
+        private final long until;
+        private final Runnable sender;
+        /** The next sending; null before the first and after the last is scheduled. */
+        private Deadlines.Timer next;
 
-    private void scheduleRetransmission(long interval, long maxInterval, long until, Retransmission retransmission) {
-        long next = now() + interval;
-        if (next < until) {
-            at(next, () -> {
-                if (retransmission.send()) {
-                    scheduleRetransmission(Math.min(2 * interval, maxInterval), maxInterval, until, retransmission);
-                }
+        private Retransmission(long until, Runnable sender) {
+            this.until = until;
+            this.sender = sender;
+        }
+
+        private void scheduleNext(long interval) {
+            long time = now() + interval;
+            next = time >= until ? null : at(time, () -> {
+                sender.run();
+                scheduleNext(Math.min(2 * interval, T2_MICROS));
             });
         }
+
+        /** Stops the retransmission. Does nothing if it has stopped already. */
+        void stop() {
+            if (next != null) {
+                next.cancel();
+            }
+        }
     }
 
     @Override
--- a/src/main/java/wingspread/sip/TransactionLayer.java
+++ b/src/main/java/wingspread/sip/TransactionLayer.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import wingspread.turn.Deadlines;
 
 /** The transaction layer (RFC 3261, section 17): server transactions, and client transactions other than INVITE. */
 public final class TransactionLayer {
@@ -24,8 +25,23 @@
     private final User user;
     private final int maxServerTransactions;
     private final Map<String, ServerTransaction> serverTransactions = new HashMap<>();
-    /** The handlers of the final responses to pending requests of this side. */
-    private final Map<String, Consumer<SipMessage>> responseHandlers = new HashMap<>();
+    /** The requests of this side that await their final response. */
+    private final Map<String, ClientTransaction> clientTransactions = new HashMap<>();
+
+    /**
+     * A request of this side that awaits its final response.
+     *
+     * @param retransmission the retransmission of the request; null over a reliable transport
+     */
+    private record ClientTransaction(
+            Consumer<SipMessage> responseHandler, Deadlines.Timer timeout, Timers.Retransmission retransmission) {
+        void stopTimers() {
+            timeout.cancel();
+            if (retransmission != null) {
+                retransmission.stop();
+            }
+        }
+    }
 
     /**
      * Creates a layer without transactions.
@@ -117,19 +133,14 @@
      */
     public void send(SipMessage request, Peer peer, Consumer<SipMessage> responseHandler) {
         String key = clientKey(request);
-        responseHandlers.put(key, responseHandler);
-        peer.send(request);
         long until = timers.now() + Timers.TRANSACTION_TIMEOUT_MICROS;
-        if (!peer.reliable()) {
-            timers.retransmit(Timers.T2_MICROS, until, () -> {
-                boolean pending = responseHandlers.get(key) == responseHandler;
-                if (pending) {
-                    peer.send(request);
-                }
-                return pending;
-            });
+        peer.send(request);
+        ClientTransaction replaced = clientTransactions.put(key, new ClientTransaction(responseHandler,
+                timers.at(until, () -> clientTransactions.remove(key)),
+                peer.reliable() ? null : timers.retransmit(until, () -> peer.send(request))));
+        if (replaced != null) {
+            replaced.stopTimers();
         }
-        timers.at(until, () -> responseHandlers.remove(key, responseHandler));
     }
 
     private static String clientKey(SipMessage message) {
@@ -137,10 +148,11 @@
     }
 
     private void handleResponse(SipMessage message) {
-        Consumer<SipMessage> responseHandler = message.status() < 200 ? null
-                : responseHandlers.remove(clientKey(message));
-        if (responseHandler != null) {
-            responseHandler.accept(message);
+        ClientTransaction transaction = message.status() < 200 ? null
+                : clientTransactions.remove(clientKey(message));
+        if (transaction != null) {
+            transaction.stopTimers();
+            transaction.responseHandler().accept(message);
         }
     }
 }
--- a/src/test/java/wingspread/front/sip/SipFrontTest.java
+++ b/src/test/java/wingspread/front/sip/SipFrontTest.java
@@ -234,4 +234,49 @@
         front.peerDisconnected(peer);
         assertEquals(new Event.CallerAbandoned(offered().request().id(), offered().caller()), events.get(1));
     }
+
+    private static SipMessage withCallId(SipMessage message, String callId) {
+        message.headers().replaceAll(header ->
+                header.name().equals("Call-ID") ? new SipMessage.Header("Call-ID", callId) : header);
+        return message;
+    }
+
+    /**
+     * Guards against memory exhaustion by SIP transactions and dialogs that had ended, and to which timers referred for
+     * up to 32 s.
+     */
+    @Test
+    void keepsNoTimersOfEndedTransactionsAndDialogs() {
+        for (boolean overTcp : new boolean[] {true, false}) {
+            reliable = overTcp;
+            rejectInvite("rejected" + overTcp);
+            establishAndRelease("established" + overTcp);
+            advance(Timers.T4_MICROS);
+            // What remains for the timeout of a transaction: the accepted INVITE, the detection of its merged requests
+            // and, over UDP alone, the transaction of the BYE (timer J).
+            int kept = overTcp ? 2 : 3;
+            assertEquals(kept, timers.size(), "timers after T4, reliable transport: " + overTcp);
+            advance(Timers.TRANSACTION_TIMEOUT_MICROS);
+            assertEquals(0, timers.size(), "timers after the timeout, reliable transport: " + overTcp);
+        }
+    }
+
+    /** An INVITE to a number without a route, whose 404 response is acknowledged. */
+    private void rejectInvite(String id) {
+        SipMessage invite = SipMessage.request("INVITE", "sip:9@net");
+        withCallId(message("INVITE", id, "<sip:9@net>"), id).headers()
+                .forEach(header -> invite.with(header.name(), header.value()));
+        receive(invite);
+        receive(withCallId(message("ACK", id, to()), id));
+    }
+
+    /** A call that the caller establishes, acknowledges and releases. */
+    private void establishAndRelease(String id) {
+        events.clear();
+        receive(withCallId(message("INVITE", id + "i", "<sip:7123@net>"), id));
+        offered().caller().onEstablished(SDP);
+        String to = to();
+        receive(withCallId(message("ACK", id + "a", to), id));
+        receive(withCallId(message("BYE", id + "b", to), id));
+    }
 }
