Bound what is kept of calls by the length of their ids and numbers too

Seen by callers: one client whose refused calls have ids of 12,000 characters and deadlines of 1 ms ends the process with an OutOfMemoryError after some 4 s; all other callers lose their set-ups with it. Cause: Planner remembers the ids of the 8,192 calls that ended last, to tell a repeated release from that of a call of an earlier process. The bound counts ids and not their length, so 98 MB of 80 are kept. Of open calls only the descriptions count toward the 16 MiB, though ids and numbers may each be nearly as long as a message. Request.sizeBytes counts id, number and description toward the 16 MiB of open calls; the gauge is kept.request-bytes. The batches of BadClientMemoryTest are 50 calls now in place of 200, four times as many: answers that repeat long ids would exceed what a connection may have unsent.

--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -3,11 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -51,9 +49,8 @@
     private static final long RELEASE_GRACE_MICROS = 500_000;
     /** Maximum time from when an exchange composes its first report to when it sends it. */
     private static final long MAX_REPORT_AGE_MICROS = 100_000;
-    private static final int MAX_ENDED_CALLS = 8_192;
-    /** Total size of the session descriptions kept at a time; limits their share of the heap. */
-    private static final long MAX_DESCRIPTION_BYTES = 16 << 20;
+    /** Total size of what callers sent for the open calls; limits its share of the heap. */
+    private static final long MAX_REQUEST_BYTES = 16 << 20;
 
     private final LongSupplier clock;
     private final Settings settings;
@@ -73,10 +70,9 @@
     private final ExchangeMonitor exchangeMonitor;
     /** Start time of each listed exchange, by address. */
     private final Map<Long, Long> startTimes = new HashMap<>();
-    /** Ids of the calls that ended most recently, oldest first. */
-    private final Set<String> endedCallIds = new LinkedHashSet<>();
+    private final EndedCallIds endedCallIds = new EndedCallIds();
     private long nextCallNumber = 1;
-    private long descriptionBytes;
+    private long requestBytes;
     /** Latest time of any answer; {@link Long#MAX_VALUE} until a shutdown is planned. */
     private long answerDeadline = Long.MAX_VALUE;
     private boolean draining;
@@ -114,7 +110,7 @@
                 (exchange, silenceMicros) -> actions.add(() -> exchangeUnresponsive(exchange, silenceMicros)));
         this.control = new WindowControl(clock.getAsLong(), settings, parameters, seed, this);
         metrics.addGauge("kept.calls", byId::size);
-        metrics.addGauge("kept.description-bytes", () -> descriptionBytes);
+        metrics.addGauge("kept.request-bytes", () -> requestBytes);
         metrics.addGauge("kept.ended-calls", endedCallIds::size);
         metrics.addGauge("kept.timers", deadlines::size);
     }
@@ -273,7 +269,7 @@
             return;
         }
         // Calls beyond what the memory can hold are refused before they reach the call control.
-        if (byId.size() >= maxCalls || descriptionBytes + request.description().length > MAX_DESCRIPTION_BYTES) {
+        if (byId.size() >= maxCalls || requestBytes + request.sizeBytes() > MAX_REQUEST_BYTES) {
             metrics.count("answered.overfull");
             log.answered(request.id(), "refused", AnswerReason.TOO_MANY_CALLS, 0);
             caller.onRefused(settings.maxRetryAfter());
@@ -290,7 +286,7 @@
         }
         byId.put(request.id(), state);
         byNumber.put(state.callNumber, state);
-        descriptionBytes += request.description().length;
+        requestBytes += request.sizeBytes();
         state.addTimer(deadlines.add(request.deadline(), () -> actions.add(() -> answerOverdue(state))));
         control.onCall(now, new CallControl.Call(state.callNumber, request.callClass(), parseNumber(request.number()),
                 request.deadline(), request.destination(), request.width(), request.via(), request.redial(),
@@ -396,7 +392,7 @@
         CallState state = byId.get(event.call());
         // The call may have been set up by a process that ended before this one was started, and its caller must be
         // notified. An exchange repeats a release on its next connection, which must not reach the caller twice.
-        if (state == null && rememberEnded(event.call())) {
+        if (state == null && endedCallIds.add(event.call())) {
             metrics.count("answered.strangers");
             log.unknownCallReleased(event.call(), event.exchange(), event.cause());
             unknownCalls.onEnded(event.call(), event.cause());
@@ -525,21 +521,13 @@
     private void removeIfDone(CallState state) {
         if (state.isAnswered() && !state.sendRequested && !state.hasPendingAttempt() && !state.isEstablished()) {
             byId.remove(state.request.id());
-            rememberEnded(state.request.id());
+            endedCallIds.add(state.request.id());
             if (byNumber.remove(state.callNumber) != null) {
-                descriptionBytes -= state.request.description().length;
+                requestBytes -= state.request.sizeBytes();
             }
         }
     }
 
-    /** Remembers that a call has ended; returns false if this was known already. */
-    private boolean rememberEnded(String call) {
-        if (endedCallIds.size() >= MAX_ENDED_CALLS) {
-            endedCallIds.remove(endedCallIds.iterator().next());
-        }
-        return endedCallIds.add(call);
-    }
-
     private void answer(CallState state, String kind, Runnable notification) {
         state.markAnswered();
         metrics.count("answered." + kind);
--- a/src/main/java/wingspread/core/Request.java
+++ b/src/main/java/wingspread/core/Request.java
@@ -18,6 +18,11 @@
 public record Request(
         String id, String className, int callClass, String number, byte[] description, long deadline,
         int destination, double width, int via, boolean redial, boolean transit, boolean cut) {
+    /** Returns the size of what the caller chose freely: id, number and description. */
+    int sizeBytes() {
+        return id.length() + number.length() + description.length;
+    }
+
     /** Returns the same call with a deadline no later than the given one. */
     Request withDeadlineAtMost(long latest) {
         return deadline <= latest ? this : new Request(id, className, callClass, number, description, latest,
--- a/src/test/java/wingspread/BadClientMemoryTest.java
+++ b/src/test/java/wingspread/BadClientMemoryTest.java
@@ -19,8 +19,9 @@
 
 /** Runs the program with the heap of the deploy file, against clients that send far more than it holds. */
 class BadClientMemoryTest extends ServeFixture {
-    private static final int BATCHES = 60;
-    private static final int CALLS_PER_BATCH = 200;
+    private static final int BATCHES = 240;
+    /** The answers to one batch, which repeat the ids, stay below the 1 MiB that a connection may have unsent. */
+    private static final int CALLS_PER_BATCH = 50;
     /** All batches together hold 144 MB, nearly twice the heap. */
     private static final int PADDING_CHARS = 12_000;
 
@@ -59,22 +60,19 @@
         reader.start();
     }
 
-    private String newCallId() {
-        return String.format("%016x", nextCall++);
-    }
-
     /** An offer for a place that no exchange has, which is refused at once. */
     private static String refusedOffer(String id, String remainingMs, String description) {
         return "{\"op\":\"offer\",\"call\":\"" + id + "\",\"with\":{\"class\":\"plain\",\"left\":\"" + remainingMs
                 + "\",\"key\":\"00FF\",\"extras\":\"dest:9999;width:1;via:-1\"},\"desc\":\"" + description + "\"}\n";
     }
 
-    private void offerRefusedCalls(Wire<Map<?, ?>> client, String remainingMs) throws Exception {
-        String description = "x".repeat(PADDING_CHARS);
+    private void offerRefusedCalls(Wire<Map<?, ?>> client, String remainingMs, String idPadding, String description)
+            throws Exception {
         for (int batch = 0; batch < BATCHES; batch++) {
             StringBuilder offers = new StringBuilder();
             for (int i = 0; i < CALLS_PER_BATCH; i++) {
-                offers.append(refusedOffer(newCallId(), remainingMs, description));
+                String id = idPadding + String.format("%016x", nextCall++);
+                offers.append(refusedOffer(id, remainingMs, description));
             }
             client.send(offers.toString());
             for (int i = 0; i < CALLS_PER_BATCH; i++) {
@@ -87,7 +85,16 @@
     @Test
     void servesUsualCallersAfterManyRefusedCallsWithFarDeadlines() throws Exception {
         try (Wire<Map<?, ?>> client = connect()) {
-            offerRefusedCalls(client, "1000000000000");
+            offerRefusedCalls(client, "1000000000000", "", "x".repeat(PADDING_CHARS));
+            establishCall(CALL_ID);
+        }
+    }
+
+    /** Guards against an OutOfMemoryError by the ids of ended calls, which a client may choose as long as a message. */
+    @Test
+    void servesUsualCallersAfterManyRefusedCallsWithLongIds() throws Exception {
+        try (Wire<Map<?, ?>> client = connect()) {
+            offerRefusedCalls(client, "1", "x".repeat(PADDING_CHARS), "");
             establishCall(CALL_ID);
         }
     }
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -485,6 +485,23 @@
         }
         assertTrue(metrics.value("answered.refused") >= 100, metrics::toString);
         assertEquals(200, metrics.value("answered.stood"), metrics::toString);
-        assertEquals(0, metrics.value("kept.description-bytes"), metrics::toString);
+        assertEquals(0, metrics.value("kept.request-bytes"), metrics::toString);
+    }
+
+    /** Guards against an OutOfMemoryError by open calls whose ids and numbers are as long as a message may be. */
+    @Test
+    void countsIdsAndNumbersOfOpenCallsTowardTheMaximumOfBytes() {
+        Metrics metrics = new Metrics();
+        planner = new Planner(() -> now, settings, ControlParameters.DEFAULTS, 7, 4_096, endpoint, endpoint, metrics);
+        listExchanges();
+        String padding = "x".repeat(8_000);
+        for (int i = 0; i < 2_000; i++) {
+            process(new Event.Offered(new Request(padding + i, "plain", 0, padding + i, new byte[0],
+                    now + TIME_LEFT_MICROS, 1, 1, -1, false, false, false), endpoint));
+        }
+        assertTrue(metrics.value("answered.overfull") >= 900, metrics::toString);
+        assertTrue(metrics.value("kept.request-bytes") <= 16 << 20, metrics::toString);
+        advance(TIME_LEFT_MICROS);
+        assertEquals(0, metrics.value("kept.request-bytes"), metrics::toString);
     }
 }
