Cancel the check for an incomplete message with its connection

Seen by callers: nothing yet; a client that opens connections, writes half a message and closes them fills memory with closed connections. Change: the future is kept in place of a flag and is cancelled in channelInactive. Measured: MessageHandlerTest.keepsNoTimerOfConnectionClosedWithinAMessage failed before (399 ms to the next task) and passes.

--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.DecoderException;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
@@ -71,7 +72,8 @@
     private long receivedBytes;
     /** Consecutive check intervals in which no message was completed. */
     private int incompletePauses;
-    private boolean checkScheduled;
+    /** The next check for an incomplete message; null if none is scheduled. */
+    private ScheduledFuture<?> incompleteMessageCheck;
     private CloseReason closeReason = CloseReason.PEER_CLOSED;
     private String closeDetail = "";
 
@@ -144,12 +146,11 @@
      * continue as long as bytes keep arriving, up to a limit.
      */
     private void scheduleIncompleteMessageCheck(ChannelHandlerContext ctx) {
-        if (writeIndex > readIndex && !checkScheduled) {
-            checkScheduled = true;
+        if (writeIndex > readIndex && incompleteMessageCheck == null) {
             long messageCountBefore = messageCount;
             long receivedBytesBefore = receivedBytes;
-            ctx.executor().schedule(() -> {
-                checkScheduled = false;
+            incompleteMessageCheck = ctx.executor().schedule(() -> {
+                incompleteMessageCheck = null;
                 incompletePauses = messageCount > messageCountBefore ? 0 : incompletePauses + 1;
                 boolean timedOut = writeIndex > readIndex && messageCount == messageCountBefore
                         && (receivedBytes == receivedBytesBefore || incompletePauses >= listener.maxPauses());
@@ -184,6 +185,10 @@
         bytes = Arrays.copyOf(bytes, 0);
         readIndex = 0;
         writeIndex = 0;
+        if (incompleteMessageCheck != null) {
+            // The check would keep the closed channel until its time.
+            incompleteMessageCheck.cancel(false);
+        }
         listener.ended(ctx.channel(), closeReason);
     }
 
--- a/src/test/java/wingspread/net/MessageHandlerTest.java
+++ b/src/test/java/wingspread/net/MessageHandlerTest.java
@@ -128,4 +128,14 @@
         assertEquals(List.of(Map.of(), Map.of()), events);
         assertTrue(channel.isOpen());
     }
+
+    /** Guards against memory exhaustion by closed connections, which the check of their last message referred to. */
+    @Test
+    void keepsNoTimerOfConnectionClosedWithinAMessage() {
+        read("{\"op\":");
+        assertTrue(channel.runScheduledPendingTasks() > 0, "no check is scheduled");
+        // EmbeddedChannel.close would cancel all timers itself.
+        channel.pipeline().fireChannelInactive();
+        assertEquals(-1, channel.runScheduledPendingTasks());
+    }
 }
