Keep no call in the JSON front whose answer crosses its end

Seen by callers: nothing at once. A call that its caller gives up in the turn in which the exchange's 200 is read stayed in establishedLegs for good, and with it its connection once that has closed; while open, the connection never counted as idle again. Cause: JsonlFront.received takes the call off the pending ones and posts CallerAbandoned; the planner, which handles the 200 first, establishes the call at the front and then releases it at the exchange, of which the front is not told. Change: Leg.onEstablished keeps the call only while it is pending on its connection. What is sent is unchanged. Gauges kept.established-legs and kept.caller-connections.

--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -90,6 +90,8 @@
         this.planner = planner;
         this.ready = ready;
         this.metrics = metrics;
+        metrics.addGauge("kept.caller-connections", connections::size);
+        metrics.addGauge("kept.established-legs", establishedLegs::size);
     }
 
     /** Binds the listening socket and starts accepting connections. */
@@ -361,7 +363,8 @@
         @Override
         public void onEstablished(byte[] description) {
             ConnectionCalls calls = connections.get(channel);
-            if (calls != null) {
+            // A call that its caller gave up in this turn is released at once, and nothing else ends it here.
+            if (calls != null && calls.pending.get(id) == this) {
                 calls.establishedCount++;
                 orphanedReleases.callEstablished(channel);
                 establishedLegs.put(id, this);
