Remember 4,096 refused numbers at most

Seen by callers: nothing yet. Cause: a bound by time alone, of what ended calls leave. Change: at 4,096 numbers the oldest is forgotten; its redial counts as a fresh call. Measured: WindowTest.forgetsOldestRefusedNumberBeyondTheMaximum failed before and passes. Not bounded yet, not reached on either site: alternate routes by destination in the layout of pools, where a destination may be any number (docs/ROADMAP.md).

--- a/src/main/java/wingspread/control/WindowControl.java
+++ b/src/main/java/wingspread/control/WindowControl.java
@@ -28,6 +28,7 @@
     private static final long TOKEN_LIST_RETRY = 2;
     private static final long TOKEN_HOLD_END = 3;
     private static final int TOKEN_SHIFT = 56;
+    private static final int MAX_REFUSED_NUMBERS = 4_096;
 
     private final Settings settings;
     private final ControlParameters parameters;
@@ -771,9 +772,12 @@
 
     private void rememberRefused(CallState state, CallClass callClass) {
         long first = state.aimAt - callClass.aim();
+        boolean full = refusedNumbers.size() >= MAX_REFUSED_NUMBERS
+                && !refusedNumbers.containsKey(state.call.number());
         Iterator<Long> oldest = refusedNumbers.values().iterator();
-        while (oldest.hasNext() && first - oldest.next() > callClass.deadline()) {
+        while (oldest.hasNext() && (first - oldest.next() > callClass.deadline() || full)) {
             oldest.remove();
+            full = false;
         }
         refusedNumbers.putIfAbsent(state.call.number(), first);
     }
--- a/src/test/java/wingspread/control/WindowTest.java
+++ b/src/test/java/wingspread/control/WindowTest.java
@@ -208,6 +208,24 @@
         assertEquals(1, host.sends.size());
     }
 
+    /** Guards against memory exhaustion by a flood of refused calls to different numbers. */
+    @Test
+    void forgetsOldestRefusedNumberBeyondTheMaximum() {
+        RecordingHost host = RecordingHost.network(1);
+        host.reportGroup(1, 0, 49);
+        host.call(1, 77);
+        host.advance(RecordingHost.AIM_MICROS);
+        for (int number = 1_000; number < 1_000 + 4_095; number++) {
+            host.call(9, number);
+        }
+        host.reportGroup(1, 7, 49);
+        host.call(1, 77);
+        assertEquals(0, host.sends.size(), "the redial must be recognized while its number is remembered");
+        host.call(9, 999);
+        host.call(1, 77);
+        assertEquals(1, host.sends.size(), "the oldest number must be forgotten at the maximum");
+    }
+
     @Test
     void servesHeldCallOfHigherValuePerCircuitFirst() {
         RecordingHost host = RecordingHost.network(1);
