Read releases from exchanges that have left the directory

Cause: Links.update closed the connections of an exchange in the moment in which a list without it was handled. A release still under way met a closed socket, and the planner ends by the directory's word only the calls that its own process set up. LinksTest, with a release sent after the removal: no event within 10 s. Change: Link.retire gives up its set-ups with CANCEL and RESET, takes none and opens no connection, and reads what is open until the exchange closes it, for 8 s at most, the term for telling a caller. Retired links count toward the budget of descriptors and are evicted last. Why it works: the exchange sends its releases before it closes, on a stream, so all of them are read before the end. Test replaced: closesConnectionsToRemovedExchange asked for the close that lost the releases. In its place stand givesUpSetUpsToRemovedExchangeAndSendsNoneLater (set-ups out are cancelled, none follows, no connection is opened) and closesConnectionsToRemovedExchangeAfterTheTerm; readsReleasesOfRemovedExchangeUntilItCloses guards the fault. The first and the last failed with the old close.

--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -68,7 +68,9 @@
     /** Connects in progress that {@link #checkLiveness} started. */
     private int pendingChecks;
     private boolean reconnectScheduled;
+    /** Whether no further connection is opened. */
     private boolean closed;
+    private boolean retired;
     /** Whether a connect has failed or was not possible at the limit of connections. */
     private boolean connectFailed;
     private boolean stateReported;
@@ -119,14 +121,14 @@
     }
 
     /**
-     * Whether start-up need not wait for this exchange any longer: it has reported the state of its group of circuits,
-     * could not be connected to, or has sent nothing on a connection for {@value #INITIAL_REPORT_CONNECT_TIMES} times
-     * the connect time, although the report is the first message on a connection. The last condition covers an
-     * exchange that accepts connections but has no state to report yet: a fleet always has one, and without it every
-     * starting softswitch would wait for that exchange.
+     * Whether start-up need not wait for this exchange any longer: it has left the directory, has reported the state of
+     * its group of circuits, could not be connected to, or has sent nothing on a connection for
+     * {@value #INITIAL_REPORT_CONNECT_TIMES} times the connect time, although the report is the first message on a
+     * connection. The last condition covers an exchange that accepts connections but has no state to report yet: a
+     * fleet always has one, and without it every starting softswitch would wait for that exchange.
      */
     boolean startupComplete() {
-        return stateReported || connectFailed || connections.values().stream()
+        return retired || stateReported || connectFailed || connections.values().stream()
                 .anyMatch(connection -> loop.now() - connection.connectedAt >= Math.max(MIN_INITIAL_REPORT_WAIT_MICROS,
                         INITIAL_REPORT_CONNECT_TIMES * connectDurationMicros));
     }
@@ -138,6 +140,38 @@
         List.copyOf(connections.keySet()).forEach(channel -> MessageHandler.close(channel, reason));
     }
 
+    /**
+     * Ends the use of an exchange that has left the directory: gives up its attempts and opens no further connections.
+     * The open ones are only read, until the exchange closes them, since releases of calls may still be under way on
+     * them.
+     *
+     * @param maxMicros the time after which they are closed in any case
+     */
+    void retire(long maxMicros) {
+        closed = true;
+        retired = true;
+        failWaiting();
+        for (Map.Entry<Channel, Connection> entry : connections.entrySet()) {
+            List<Attempt> attempts = List.copyOf(entry.getValue().attempts.values());
+            entry.getValue().attempts.clear();
+            for (Attempt attempt : attempts) {
+                metrics.count("sent.CANCEL");
+                write(entry.getKey(), messages.cancel(attempt));
+                events.accept(new Event.AttemptAborted(attempt, Status.RESET));
+            }
+        }
+        if (connections.isEmpty()) {
+            links.remove(exchangeNumber);
+        } else {
+            loop.at(loop.now() + maxMicros, () -> close(CloseReason.GONE));
+        }
+    }
+
+    /** Whether the exchange has left the directory. */
+    boolean isRetired() {
+        return retired;
+    }
+
     /**
      * Whether the link has open connections and all of them are idle: no attempt is in progress or waiting, no message
      * has been received in part, and all written data has been sent.
@@ -166,9 +200,12 @@
 
     // Requests of the planner.
 
-    /** Sends a set-up, or queues it until a connection is open; the set-up fails if the queue is full. */
+    /**
+     * Sends a set-up, or queues it until a connection is open. The set-up fails if the queue is full or the link is
+     * closed or retired.
+     */
     void invite(Attempt attempt) {
-        Channel channel = newestResponsive();
+        Channel channel = closed ? null : newestResponsive();
         if (channel != null) {
             send(channel, attempt);
         } else if (closed || waitingAttempts.size() >= MAX_WAITING_ATTEMPTS) {
@@ -412,6 +449,9 @@
         for (Attempt attempt : new ArrayList<>(connection.attempts.values())) {
             events.accept(new Event.AttemptAborted(attempt, Status.RESET));
         }
+        if (retired && connections.isEmpty()) {
+            links.remove(exchangeNumber);
+        }
         if (!connections.isEmpty() || reason == CloseReason.MADE_ROOM) {
             return;
         }
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -23,6 +23,11 @@
 /** The connections to all exchanges, by the number that the directory assigned to each exchange. */
 public final class Links implements ExchangeTransport {
     private static final Logger LOG = LoggerFactory.getLogger("connection");
+    private static final Comparator<Link> LEAST_NEEDED =
+            Comparator.comparing(Link::isRetired).thenComparingLong(Link::lastUsedAt);
+
+    /** The term within which callers are told of the end of a call, and so the longest use of a late release. */
+    private static final long RETIREMENT_MICROS = 8_000_000;
 
     private final Loop loop;
     private final Consumer<Event> events;
@@ -31,6 +36,7 @@
     private final int ownExchangeIndex;
     private final ReconnectParameters reconnectParameters;
     private final RandomGenerator random;
+    private final long retirementMicros;
     private final Map<Long, Link> links = new LinkedHashMap<>();
     private final IntSupplier maxConnections;
     private int openCount;
@@ -48,6 +54,15 @@
      */
     public Links(Loop loop, long connectTimeoutMicros, int ownExchangeIndex, IntSupplier maxConnections,
             ReconnectParameters reconnectParameters, RandomGenerator random, Consumer<Event> events, Metrics metrics) {
+        this(loop, connectTimeoutMicros, ownExchangeIndex, maxConnections, reconnectParameters, random, events, metrics,
+                RETIREMENT_MICROS);
+    }
+
+    /** Creates the links with another time for which connections to removed exchanges are read. */
+    Links(Loop loop, long connectTimeoutMicros, int ownExchangeIndex, IntSupplier maxConnections,
+            ReconnectParameters reconnectParameters, RandomGenerator random, Consumer<Event> events, Metrics metrics,
+            long retirementMicros) {
+        this.retirementMicros = retirementMicros;
         this.maxConnections = maxConnections;
         this.reconnectParameters = reconnectParameters;
         this.random = random;
@@ -60,7 +75,7 @@
 
     /**
      * Applies changes of the directory. Opens a connection to each listed exchange before the first call to it, and
-     * closes the connections to exchanges that have been removed.
+     * retires the links to exchanges that have been removed.
      */
     public void update(List<DirectoryEntry> listings) {
         for (DirectoryEntry listing : listings) {
@@ -76,8 +91,7 @@
                 links.put(number, link);
             }
             if (link != null && removed) {
-                link.close(CloseReason.GONE);
-                links.remove(number);
+                link.retire(retirementMicros);
             } else if (link != null) {
                 link.update(listing);
             }
@@ -92,7 +106,8 @@
     /**
      * Reserves a connection for a link; {@link #releaseConnection} gives it back. At the limit, the least recently used
      * idle link may be evicted; it connects again when it has something to send. This keeps the process within its
-     * limit of file descriptors in a fleet with more exchanges than the limit allows.
+     * limit of file descriptors in a fleet with more exchanges than the limit allows. Retired links are evicted last,
+     * since their exchanges cannot repeat on a further connection what they sent meanwhile.
      *
      * @param mayEvict whether an idle link may be evicted: the caller has something to send or checks its exchange
      * @return whether the link may open a connection
@@ -100,7 +115,7 @@
     boolean reserveConnection(boolean mayEvict) {
         if (openCount >= maxConnections.getAsInt()) {
             Link idle = mayEvict ? links.values().stream().filter(Link::idle)
-                    .min(Comparator.comparingLong(Link::lastUsedAt)).orElse(null) : null;
+                    .min(LEAST_NEEDED).orElse(null) : null;
             if (!limitReported) {
                 limitReported = true;
                 LOG.warn("{}: limit reached with {} connections to exchanges; idle ones are evicted on demand",
@@ -116,6 +131,11 @@
         return true;
     }
 
+    /** Removes a retired link that has no connection left. */
+    void remove(long exchange) {
+        links.remove(exchange);
+    }
+
     /** Gives back a reserved connection that has been closed or could not be opened. */
     void releaseConnection() {
         openCount--;
@@ -133,7 +153,7 @@
 
     /** Closes all connections. */
     public void close() {
-        links.values().forEach(link -> link.close(CloseReason.SHUTDOWN));
+        List.copyOf(links.values()).forEach(link -> link.close(CloseReason.SHUTDOWN));
     }
 
     @Override
