Wait in a test of evicted links until both links have their connections

Its log: exchange 1 ended MADE_ROOM, and only then exchange 2 'connected', after which the second set-up found no idle link. The test's accept returns when the kernel has the connection, which may be before the loop has handled the connect; a link that is still connecting has no connection and is rightly not evicted. Change: the test sends the state report on each connection and waits for its event before it sets the limit. What it checks is unchanged. Measured: LinksTest passes. The failure was seen once and traced, not reproduced.

--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -86,6 +86,12 @@
         return attempt;
     }
 
+    /** Waits until the link has the connection, which an accept on this side alone does not tell. */
+    private void awaitEstablished(Wire<SipMessage> connection) throws Exception {
+        connection.send(stateReport().encode());
+        assertTrue(nextEvent() instanceof Event.Reported);
+    }
+
     private Event nextEvent() throws InterruptedException {
         return events.poll(10, TimeUnit.SECONDS);
     }
@@ -215,7 +221,7 @@
 
     @Test
     void evictsTwoIdleLinksForTwoSetUpsInOneTurn() throws Exception {
-        accept();
+        awaitEstablished(accept());
         try (ServerSocket other = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
             other.setSoTimeout(10_000);
             InetSocketAddress endpoint = (InetSocketAddress) other.getLocalSocketAddress();
@@ -224,7 +230,7 @@
                             new Exchange(i, 0, 0, (int) i, Readiness.READY, 1, 0)))
                     .toList();
             loop.execute(() -> links.update(listings.subList(0, 1)));
-            other.accept();
+            awaitEstablished(new Wire<>(other.accept(), new SipDecoder()));
             assertEquals(2, runInLoop(links::openCount));
             maxConnections = 2;
             loop.execute(() -> {
