Log which connection a release came on and why it is ignored

Change: each release that is read is a DEBUG line with exchange and local port; one that ends nothing names its reason (OTHER_EXCHANGE and ATTEMPT_ENDED at INFO, repeats at DEBUG) and is counted as taken.releases-ignored.REASON; connections are logged with their local port, links with the exchange's id, and a link that leaves the directory with how many connections it still reads. Behaviour is unchanged. Result: PlannerTest counts the reasons; LinksTest, ServeTest, TestbedTest, MessageHandlerTest pass.

--- a/src/main/java/wingspread/core/CallLog.java
+++ b/src/main/java/wingspread/core/CallLog.java
@@ -52,6 +52,16 @@
         PLANNED_END
     }
 
+    /** Why the release of a call by an exchange ended nothing. */
+    enum IgnoredReleaseReason {
+        /** The call's last attempt was sent to another exchange. */
+        OTHER_EXCHANGE,
+        /** The call's last attempt has ended, and the call waits for its next attempt or answer. */
+        ATTEMPT_ENDED,
+        /** The call has ended before: the exchange repeats the release, or it crossed the end of the call. */
+        ALREADY_ENDED
+    }
+
     void received(Request request, long now) {
         if (LOG.isDebugEnabled()) {
             LOG.debug("{} received class={} destination={} left-ms={}{}{}", request.id(), request.className(),
@@ -112,6 +122,15 @@
         LOG.info("{} unknown call, released by exchange={} cause={}", call, exchange, cause);
     }
 
+    /** Logs a release that ends nothing. Repeated releases are ordinary, as exchanges send them on new connections too. */
+    void releaseIgnored(String call, long exchange, int cause, IgnoredReleaseReason reason) {
+        if (reason != IgnoredReleaseReason.ALREADY_ENDED) {
+            LOG.info("{} release ignored reason={} exchange={} cause={}", call, reason, exchange, cause);
+        } else if (LOG.isDebugEnabled()) {
+            LOG.debug("{} release ignored reason={} exchange={} cause={}", call, reason, exchange, cause);
+        }
+    }
+
     /** Logs an exchange's answer to a set-up that is no longer pending. */
     void lateAnswer(String call, long exchange) {
         LOG.info("{} answered too late by exchange={}, releasing it", call, exchange);
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -24,6 +24,7 @@
 import wingspread.control.WindowControl;
 import wingspread.core.CallLog.AnswerReason;
 import wingspread.core.CallLog.EndReason;
+import wingspread.core.CallLog.IgnoredReleaseReason;
 import wingspread.metrics.Metrics;
 import wingspread.storm.CallOffer;
 import wingspread.storm.StormParameters;
@@ -390,22 +391,43 @@
 
     private void exchangeReleased(long now, Event.Released event) {
         CallState state = byId.get(event.call());
-        // The call may have been set up by a process that ended before this one was started, and its caller must be
-        // notified. An exchange repeats a release on its next connection, which must not reach the caller twice.
-        if (state == null && endedCallIds.add(event.call())) {
-            metrics.count("answered.strangers");
-            log.unknownCallReleased(event.call(), event.exchange(), event.cause());
-            unknownCalls.onEnded(event.call(), event.cause());
+        if (state == null) {
+            unknownCallReleased(event);
+            return;
         }
         Attempt attempt = findAttempt(event.exchange(), event.call());
-        if (attempt != null && attempt.isEstablished()) {
+        if (attempt == null) {
+            ignoreRelease(event, IgnoredReleaseReason.OTHER_EXCHANGE);
+        } else if (attempt.isEstablished()) {
             endEstablishedCall(now, state, event.cause() == CAUSE_NORMAL_CLEARING ? Status.OK : Status.RESET,
                     event.report(), event.cause(), EndReason.EXCHANGE_RELEASED);
-        } else if (attempt != null && attempt.isPending()) {
+        } else if (attempt.isPending()) {
             endAttempt(now, attempt, Status.RESET, Cause.NONE, event.report());
+        } else {
+            ignoreRelease(event, IgnoredReleaseReason.ATTEMPT_ENDED);
         }
     }
 
+    /**
+     * Passes on the release of a call that is not kept. The call may have been set up by a process that ended before
+     * this one was started, and its caller must be notified. An exchange repeats a release on its next connection, which
+     * must not reach the caller twice.
+     */
+    private void unknownCallReleased(Event.Released event) {
+        if (endedCallIds.add(event.call())) {
+            metrics.count("answered.strangers");
+            log.unknownCallReleased(event.call(), event.exchange(), event.cause());
+            unknownCalls.onEnded(event.call(), event.cause());
+        } else {
+            ignoreRelease(event, IgnoredReleaseReason.ALREADY_ENDED);
+        }
+    }
+
+    private void ignoreRelease(Event.Released event, IgnoredReleaseReason reason) {
+        metrics.count("taken.releases-ignored." + reason);
+        log.releaseIgnored(event.call(), event.exchange(), event.cause(), reason);
+    }
+
     private void exchangesListed(long now, Event.Listed event) {
         control.onExchangeList(now, event.kind(), event.entries());
         for (Exchange entry : event.entries()) {
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -39,6 +39,7 @@
  */
 final class Link implements MessageHandler.Listener<SipMessage> {
     private static final Logger LOG = LoggerFactory.getLogger("connection");
+    private static final Logger CALLS = LoggerFactory.getLogger("call");
     private static final int MAX_CONNECTIONS = 4;
     /**
      * Multiple of the connect time within which the initial report is expected: a connect takes one round trip, and
@@ -54,6 +55,7 @@
 
     private final Loop loop;
     private final long exchangeNumber;
+    private final String uid;
     private final long connectTimeoutMicros;
     private final Links links;
     private final Consumer<Event> events;
@@ -95,12 +97,13 @@
         }
     }
 
-    Link(Loop loop, long exchangeNumber, InetSocketAddress endpoint, long connectTimeoutMicros, Backoff backoff,
-            Links links, Consumer<Event> events, Metrics metrics) {
+    Link(Loop loop, DirectoryEntry listing, long connectTimeoutMicros, Backoff backoff, Links links,
+            Consumer<Event> events, Metrics metrics) {
         this.links = links;
         this.loop = loop;
-        this.exchangeNumber = exchangeNumber;
-        this.endpoint = endpoint;
+        this.exchangeNumber = listing.exchange().address();
+        this.uid = listing.uid();
+        this.endpoint = listing.endpoint();
         this.connectTimeoutMicros = connectTimeoutMicros;
         this.backoff = backoff;
         this.events = events;
@@ -150,6 +153,8 @@
     void retire(long maxMicros) {
         closed = true;
         retired = true;
+        LOG.info("exchange {} {} {} has left the directory, {} connections are read for up to {} ms", exchangeNumber, uid,
+                endpoint, connections.size(), maxMicros / 1_000);
         failWaiting();
         for (Map.Entry<Channel, Connection> entry : connections.entrySet()) {
             List<Attempt> attempts = List.copyOf(entry.getValue().attempts.values());
@@ -388,8 +393,9 @@
             }
         }
         connections.put(future.channel(), new Connection(loop.now()));
-        LOG.info("exchange {} {} connected in {} ms, {} open, {} set-ups waiting", exchangeNumber, endpoint,
-                connectDurationMicros / 1_000, connections.size(), waitingAttempts.size());
+        LOG.info("exchange {} {} {} local-port={} connected in {} ms, {} open, {} set-ups waiting", exchangeNumber, uid,
+                endpoint, MessageHandler.localPort(future.channel()), connectDurationMicros / 1_000, connections.size(),
+                waitingAttempts.size());
         sendReleases(future.channel());
         sendWaiting(future.channel());
     }
@@ -493,6 +499,8 @@
                         first ? connection.connectedAt : Event.Reported.UNSOLICITED));
             }
             case "BYE" -> {
+                CALLS.debug("{} release read exchange={} local-port={}", message.callId(), exchangeNumber,
+                        MessageHandler.localPort(channel));
                 write(channel, message.reply(200, "OK"));
                 events.accept(new Event.Released(exchangeNumber, message.callId(),
                         ExchangeMessages.releaseCause(message), report));
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -86,8 +86,8 @@
             Link link = links.get(number);
             boolean removed = listing.exchange().readiness() == Readiness.GONE;
             if (link == null && !removed) {
-                link = new Link(loop, number, listing.endpoint(), connectTimeoutMicros,
-                        reconnectParameters.backoff(random), this, this::post, metrics);
+                link = new Link(loop, listing, connectTimeoutMicros, reconnectParameters.backoff(random), this,
+                        this::post, metrics);
                 links.put(number, link);
             }
             if (link != null && removed) {
--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -97,6 +98,11 @@
         channel.close();
     }
 
+    /** Returns the local port of a connection, which identifies it in the log; 0 if it is not known. */
+    public static int localPort(Channel channel) {
+        return channel.localAddress() instanceof InetSocketAddress address ? address.getPort() : 0;
+    }
+
     /** Whether a message has been received in part, or written data has not been sent completely. */
     public static boolean hasPendingData(Channel channel) {
         MessageHandler<?> handler = channel.pipeline().get(MessageHandler.class);
@@ -181,7 +187,8 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        LOG.info("{} {} ended {}{}", kind, ctx.channel().remoteAddress(), closeReason, closeDetail);
+        LOG.info("{} {} ended {}{} local-port={}", kind, ctx.channel().remoteAddress(), closeReason, closeDetail,
+                localPort(ctx.channel()));
         bytes = Arrays.copyOf(bytes, 0);
         readIndex = 0;
         writeIndex = 0;
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -35,6 +35,7 @@
 
     private final List<String> recorded = new ArrayList<>();
     private final List<Long> checks = new ArrayList<>();
+    private Metrics metrics = new Metrics();
     private long lastWait;
     private long now = 1_000_000_000;
     private Planner planner;
@@ -114,7 +115,7 @@
         settings = new Settings(Layout.NETWORK, 0, 0, 0, 3, List.of(plain), false, Reports.PIGGYBACK,
                 false, false, true, false, false, true, 2_000_000, 6, 200_000, 0,
                 new Obligations(20_000, 500_000, 0, 0.3, 14_000_000, 2, 1_000_000));
-        planner = new Planner(() -> now, settings, ControlParameters.DEFAULTS, 7, 3, endpoint, endpoint, new Metrics());
+        planner = new Planner(() -> now, settings, ControlParameters.DEFAULTS, 7, 3, endpoint, endpoint, metrics);
         listExchanges();
     }
 
@@ -161,7 +162,7 @@
 
     @Test
     void refusesOnlyRedialsDuringStormAndAdvisesAWait() {
-        Metrics metrics = new Metrics();
+        metrics = new Metrics();
         planner = new Planner(() -> now, settings, ControlParameters.DEFAULTS, 7, 1_000, endpoint, endpoint, metrics,
                 StormParameters.DEFAULTS);
         for (int i = 0; i < 200; i++) {
@@ -267,6 +268,20 @@
         assertRecorded("invite a 1", "established 6", "ended 16");
     }
 
+    @Test
+    void countsReleasesThatEndNothingByReason() {
+        offer("a");
+        process(new Event.Released(2, "a", 16, Report.EMPTY));
+        process(new Event.Answered(1, "a", DESCRIPTION));
+        process(new Event.Released(2, "a", 16, Report.EMPTY));
+        assertRecorded("invite a 1", "established 6");
+        assertEquals(2, metrics.value("taken.releases-ignored.OTHER_EXCHANGE"));
+        process(new Event.Released(1, "a", 16, Report.EMPTY));
+        process(new Event.Released(1, "a", 16, Report.EMPTY));
+        assertRecorded("ended 16");
+        assertEquals(1, metrics.value("taken.releases-ignored.ALREADY_ENDED"));
+    }
+
     @Test
     void keepsCallAtHandOverUnlessNextProcessCannotNotifyItsCaller() {
         offer("a");
@@ -472,7 +487,7 @@
      */
     @Test
     void keepsNoTimersOfEndedCallsWithFarDeadlines() {
-        Metrics metrics = new Metrics();
+        metrics = new Metrics();
         planner = new Planner(() -> now, settings, ControlParameters.DEFAULTS, 7, 3, endpoint, endpoint, metrics);
         listExchanges();
         for (int way = 0; way < WAYS_TO_END; way++) {
@@ -491,7 +506,7 @@
     /** Guards against an OutOfMemoryError by open calls whose ids and numbers are as long as a message may be. */
     @Test
     void countsIdsAndNumbersOfOpenCallsTowardTheMaximumOfBytes() {
-        Metrics metrics = new Metrics();
+        metrics = new Metrics();
         planner = new Planner(() -> now, settings, ControlParameters.DEFAULTS, 7, 4_096, endpoint, endpoint, metrics);
         listExchanges();
         String padding = "x".repeat(8_000);
