Soak: judge the end of a call by the exchange that answered last

Its timeline: the first exchange's 200 was spoilt, so the softswitch ended that attempt as reset; that exchange released its call; 0.2 s later a second exchange answered and the call stood there, and never ended. The judge kept 'ended' from the first exchange and applied it when the call stood. Change: an answer clears what was seen of earlier attempts. The check stays as strict for the exchange that answered last, which holds the call; a test holds both. Result: JudgeTest fails without the change (one of two) and passes with it.

--- a/src/main/java/wingspread/testbed/soak/Judge.java
+++ b/src/main/java/wingspread/testbed/soak/Judge.java
@@ -380,6 +380,9 @@
         if (call != null && uid.equals(call.attemptExchange)) {
             call.description = description;
             call.answeredBy = uid;
+            // An end that was seen before concerns an earlier attempt at another exchange.
+            call.ended = false;
+            call.released = false;
             end(call, Status.OK, loop.now());
         }
     }
