--- a/src/main/java/wingspread/testbed/soak/ExchangeHost.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeHost.java
@@ -13,6 +13,8 @@
  * softswitches. Confined to the loop.
  */
 final class ExchangeHost {
+    private static final long RESTART_DELAY_MICROS = 100_000;
+
     private final Loop loop;
     private final int place;
     private final Schedule.Deployment deployment;
@@ -110,6 +112,12 @@
     }
 
     private void restart() {
+        replaceProcess();
+        publish(Readiness.READY);
+        faultInProgress = false;
+    }
+
+    private void replaceProcess() {
         ExchangeStandIn predecessor = process;
         try {
             startProcess(true);
@@ -118,8 +126,6 @@
         }
         proxies.forEach(FaultProxy::heal);
         predecessor.close();
-        publish(Readiness.READY);
-        faultInProgress = false;
     }
 
     /** Simulates a crash of the process, which starts again under the same id after {@code restartMs} milliseconds. */
@@ -156,6 +162,31 @@
         });
     }
 
+    /**
+     * Drains the exchange, stops its process and starts a new one under the same id. The directories list it as removed
+     * in between; the new process may start before or after that.
+     *
+     * @param drainMs time in milliseconds from the drain to the stop
+     * @param absenceMs time in milliseconds from the stop until the directories list the new process
+     */
+    void drainAndReturn(int drainMs, int absenceMs) {
+        if (faultInProgress) {
+            return;
+        }
+        faultInProgress = true;
+        log.add(uid(), "FAULT drains, is removed and returns");
+        publish(Readiness.DRAINING);
+        long stopAt = loop.now() + drainMs * 1_000L;
+        loop.at(stopAt, () -> process.stop());
+        loop.at(stopAt + random.nextLong(absenceMs * 1_000L), this::withdraw);
+        // The stop closes the connections a few milliseconds later.
+        loop.at(stopAt + random.nextLong(RESTART_DELAY_MICROS, absenceMs * 1_000L), this::replaceProcess);
+        loop.at(stopAt + absenceMs * 1_000L, () -> {
+            publish(Readiness.READY);
+            faultInProgress = false;
+        });
+    }
+
     void close() {
         process.close();
         proxies.forEach(FaultProxy::close);
--- a/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
@@ -187,6 +187,29 @@
                 .forEach(call -> release(call, CAUSE_NORMAL_CLEARING));
     }
 
+    /** Closes the connections without open set-ups. */
+    void closeIdle() {
+        idleConnections().forEach(Channel::close);
+    }
+
+    /**
+     * Forgets the connections without open set-ups: nothing is read from them or written to them any longer, and they
+     * stay open.
+     */
+    void forgetIdle() {
+        List<Channel> idle = idleConnections();
+        idle.forEach(channels::remove);
+        if (!idle.isEmpty()) {
+            log.add(uid, "forgets " + idle.size() + " connections");
+        }
+    }
+
+    private List<Channel> idleConnections() {
+        return state != State.SERVING ? List.of() : channels.keySet().stream()
+                .filter(channel -> pendingSetUps.values().stream().noneMatch(setUp -> setUp.channel() == channel))
+                .toList();
+    }
+
     /** Stops the process after a drain; calls that are still established are released. */
     void stop() {
         if (state == State.SERVING) {
@@ -302,7 +325,7 @@
 
     @Override
     public void received(Channel channel, SipMessage message) {
-        if (state == State.STOPPED) {
+        if (state == State.STOPPED || !channels.containsKey(channel)) {
             return;
         }
         if (state == State.HANGING) {
@@ -418,7 +441,7 @@
         EstablishedCall call = establishedCalls.remove(id);
         scheduleStateReport(call.softswitch());
         releasesToRepeat.put(id, new Release(call.softswitch(), cause));
-        Channel target = call.channel().isActive() ? call.channel() : channels.entrySet().stream()
+        Channel target = channels.containsKey(call.channel()) && call.channel().isActive() ? call.channel() : channels.entrySet().stream()
                 .filter(c -> c.getValue() == call.softswitch() && c.getKey().isActive()).map(Map.Entry::getKey)
                 .findFirst().orElse(null);
         if (target == null || !proxies.get(call.softswitch()).reachable()) {
--- a/src/main/java/wingspread/testbed/soak/FaultInjector.java
+++ b/src/main/java/wingspread/testbed/soak/FaultInjector.java
@@ -13,6 +13,7 @@
     private static final long RELOAD_INTERVAL_MICROS = 150_000;
     private static final int RELOADS = 3;
     private static final long BAD_CALLER_INTERVAL_MICROS = 100_000;
+    private static final long IDLE_INTERVAL_MICROS = 700_000;
     /** Connections that a flood opens at a time. */
     private static final int CONNECTION_BATCH_SIZE = 50;
 
@@ -46,6 +47,13 @@
         }
     }
 
+    /** Runs a task at the start of a fault and then periodically for its duration. */
+    private void repeat(PlannedFault fault, long intervalMicros, Runnable task) {
+        for (long delay = 0; delay < fault.forMs() * 1_000L; delay += intervalMicros) {
+            loop.at(loop.now() + delay, task);
+        }
+    }
+
     private void scheduleEnd(PlannedFault fault, Runnable end) {
         loop.at(loop.now() + fault.forMs() * 1_000L, end);
     }
@@ -67,6 +75,7 @@
     private void injectIntoSoftswitch(PlannedFault fault, SoftswitchHost softswitch) {
         switch (fault.kind()) {
             case RESTART -> softswitch.restart();
+            case SIGNALS -> softswitch.restartAmidSignals();
             case KILL -> softswitch.kill();
             case RELOAD -> {
                 for (int i = 0; i < RELOADS; i++) {
@@ -74,10 +83,8 @@
                 }
             }
             case GARBAGE -> {
-                for (long at = 0; at < fault.forMs() * 1_000L; at += BAD_CALLER_INTERVAL_MICROS) {
-                    loop.at(loop.now() + at, () -> BadCallers.sendGarbage(loop, softswitch.port(), random, log,
-                            "bad callers of " + softswitch.party()));
-                }
+                repeat(fault, BAD_CALLER_INTERVAL_MICROS, () -> BadCallers.sendGarbage(loop, softswitch.port(),
+                        random, log, "bad callers of " + softswitch.party()));
             }
             case CROWD -> openIncompleteConnections(softswitch, fault.size());
             default -> {
@@ -110,6 +117,7 @@
             case REPLACE -> exchange.vanish(fault.size(), fault.forMs(), false);
             case CRASH -> exchange.crash(fault.forMs());
             case DRAIN -> exchange.drain(fault.size());
+            case RETURN -> exchange.drainAndReturn(fault.size(), fault.forMs());
             case HANG -> {
                 ExchangeStandIn process = exchange.process();
                 process.hang();
@@ -138,6 +146,8 @@
     private void injectIntoConnections(PlannedFault fault, ExchangeHost exchange) {
         switch (fault.kind()) {
             case RESET -> forEachProxy(exchange, FaultProxy::reset);
+            case CLOSE_IDLE -> repeat(fault, IDLE_INTERVAL_MICROS, () -> exchange.process().closeIdle());
+            case FORGET_IDLE -> repeat(fault, IDLE_INTERVAL_MICROS, () -> exchange.process().forgetIdle());
             case LATE_CONNECT -> {
                 if (!exchange.faultInProgress()) {
                     forEachProxy(exchange, FaultProxy::blockNewConnections);
--- a/src/main/java/wingspread/testbed/soak/FaultKind.java
+++ b/src/main/java/wingspread/testbed/soak/FaultKind.java
@@ -8,6 +8,8 @@
     RESTART(Group.SHUTDOWN, Target.SOFTSWITCH),
     /** SIGKILL to a softswitch without a preceding SIGTERM, and a restart. */
     KILL(Group.SHUTDOWN, Target.SOFTSWITCH),
+    /** A restart as in {@link #RESTART}, amid a series of signals: SIGHUP, SIGTERM, SIGHUP, SIGTERM. */
+    SIGNALS(Group.SHUTDOWN, Target.SOFTSWITCH, true),
     /** Three configurations in quick succession, each with a new address of the directory, and a SIGHUP for each. */
     RELOAD(Group.DISCOVERY, Target.SOFTSWITCH),
     /** The directory does not answer. */
@@ -26,6 +28,11 @@
     DIRECTORY_ERROR(Group.DISCOVERY, Target.NONE),
     /** An exchange drains, and is shut down {@code size} milliseconds later. */
     DRAIN(Group.DISCOVERY, Target.EXCHANGE),
+    /**
+     * An exchange drains for {@code size} milliseconds, leaves the directory and returns under its id at its address,
+     * {@code forMs} later. Its new process may start before softswitches have been told that the earlier one has gone.
+     */
+    RETURN(Group.DISCOVERY, Target.EXCHANGE, true),
     /** Callers send malformed requests. */
     GARBAGE(Group.CALLERS, Target.SOFTSWITCH),
     /** Callers open {@code size} connections and never complete a request on them. */
@@ -52,6 +59,10 @@
     LATE_CONNECT(Group.NETWORK, Target.EXCHANGE),
     /** New connections to an exchange are closed immediately. */
     CLOSE_EARLY(Group.NETWORK, Target.EXCHANGE),
+    /** An exchange closes its connections without open set-ups, every 700 ms. */
+    CLOSE_IDLE(Group.NETWORK, Target.EXCHANGE, true),
+    /** An exchange forgets its connections without open set-ups, every 700 ms: they stay open and silent. */
+    FORGET_IDLE(Group.NETWORK, Target.EXCHANGE, true),
     /** Connections are reset after {@code size} bytes from the exchange. */
     RESET_IN_MESSAGE(Group.PIECES, Target.EXCHANGE),
     /** Data from an exchange arrives in segments of {@code size} bytes. */
@@ -69,10 +80,16 @@
 
     private final Group group;
     private final Target target;
+    private final boolean drawnSeparately;
 
     FaultKind(Group group, Target target) {
+        this(group, target, false);
+    }
+
+    FaultKind(Group group, Target target, boolean drawnSeparately) {
         this.group = group;
         this.target = target;
+        this.drawnSeparately = drawnSeparately;
     }
 
     public Group group() {
@@ -83,6 +100,14 @@
         return target;
     }
 
+    /**
+     * Whether faults of this kind are drawn after all others, from random numbers of their own. The other faults of a
+     * seed then stay the same when a kind is added.
+     */
+    boolean drawnSeparately() {
+        return drawnSeparately;
+    }
+
     /** Returns the fault's name on the command line, such as {@code directory-silent}. */
     public String option() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
+++ b/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
@@ -30,6 +30,9 @@
      */
     private static final int DIRECTORY_PAUSE_MS = 1_500;
     private static final int MAX_DIRECTORY_FAULT_MS = 4_500;
+    /** Maximum number of faults of the kinds that are drawn separately; a schedule that allows them has at least one. */
+    private static final int MAX_SEPARATE_FAULTS = 4;
+    private static final long SEPARATE_SEED_OFFSET = 0x5eba_7a7eL;
 
     private ScheduleGenerator() { }
 
@@ -42,7 +45,8 @@
     static Schedule generate(long seed, int seconds, Collection<FaultKind> allowedKinds) {
         SplittableRandom random = new SplittableRandom(seed);
         Deployment deployment = generateDeployment(random);
-        Set<FaultKind> kinds = allowedKinds.isEmpty() ? EnumSet.allOf(FaultKind.class) : EnumSet.copyOf(allowedKinds);
+        Set<FaultKind> allowed = allowedKinds.isEmpty() ? EnumSet.allOf(FaultKind.class) : EnumSet.copyOf(allowedKinds);
+        List<FaultKind> kinds = allowed.stream().filter(kind -> !kind.drawnSeparately()).toList();
         List<FaultKind> chosenKinds = new ArrayList<>();
         for (Group group : Group.values()) {
             List<FaultKind> ofGroup = kinds.stream().filter(kind -> kind.group() == group).toList();
@@ -50,9 +54,9 @@
                 chosenKinds.add(ofGroup.get(random.nextInt(ofGroup.size())));
             }
         }
-        List<FaultKind> allKinds = List.copyOf(kinds);
-        for (int remaining = random.nextInt(MAX_ADDITIONAL_FAULTS + 1); remaining > 0; remaining--) {
-            chosenKinds.add(allKinds.get(random.nextInt(allKinds.size())));
+        int additionalFaults = kinds.isEmpty() ? 0 : random.nextInt(MAX_ADDITIONAL_FAULTS + 1);
+        for (int remaining = additionalFaults; remaining > 0; remaining--) {
+            chosenKinds.add(kinds.get(random.nextInt(kinds.size())));
         }
         int latestMs = Math.max(FIRST_FAULT_MS + 1, seconds * 1_000 - LAST_FAULT_BEFORE_END_MS);
         int[] clusterCentersMs = {random.nextInt(FIRST_FAULT_MS, latestMs), random.nextInt(FIRST_FAULT_MS, latestMs)};
@@ -62,9 +66,22 @@
                     + random.nextInt(-CLUSTER_RADIUS_MS, CLUSTER_RADIUS_MS + 1);
             faults.add(generateFault(kind, Math.max(FIRST_FAULT_MS, Math.min(latestMs, atMs)), deployment, random));
         }
+        addSeparateFaults(faults, allowed.stream().filter(FaultKind::drawnSeparately).toList(), latestMs, deployment,
+                new SplittableRandom(seed + SEPARATE_SEED_OFFSET));
         return new Schedule(seed, seconds, deployment, sortAndSpaceOut(faults));
     }
 
+    private static void addSeparateFaults(List<PlannedFault> faults, List<FaultKind> kinds, int latestMs,
+            Deployment deployment, SplittableRandom random) {
+        if (kinds.isEmpty()) {
+            return;
+        }
+        for (int remaining = random.nextInt(1, MAX_SEPARATE_FAULTS + 1); remaining > 0; remaining--) {
+            FaultKind kind = kinds.get(random.nextInt(kinds.size()));
+            faults.add(generateFault(kind, random.nextInt(FIRST_FAULT_MS, latestMs), deployment, random));
+        }
+    }
+
     private static Deployment generateDeployment(SplittableRandom random) {
         int softswitches = random.nextInt(2, 7);
         int exchanges = random.nextInt(Math.max(3, softswitches), 13);
@@ -89,7 +106,7 @@
         int size = switch (kind) {
             case DIRECTORY_LATE -> random.nextInt(200, 1_500);
             case VANISH, REPLACE -> random.nextInt(1_500, 9_001);
-            case DRAIN -> random.nextInt(500, 4_001);
+            case DRAIN, RETURN -> random.nextInt(500, 4_001);
             case CROWD -> random.nextInt(100, 2_001);
             case RESET_IN_MESSAGE -> random.nextInt(100, 3_000);
             case PIECES -> random.nextInt(3, 200);
@@ -98,6 +115,7 @@
         int durationMs = switch (kind) {
             case VANISH, REPLACE -> random.nextInt(1_000, 10_001);
             case CRASH -> random.nextInt(100, 3_001);
+            case RETURN -> random.nextInt(300, 2_001);
             case LATE_CONNECT -> random.nextInt(200, 1_001);
             default -> kind.target() == Target.NONE ? Math.min(defaultDurationMs, MAX_DIRECTORY_FAULT_MS)
                     : defaultDurationMs;
--- a/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
+++ b/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
@@ -41,6 +41,7 @@
     /** Platform rule: after SIGHUP the softswitch counts as notified of the directory's list within 4 s. */
     private static final long RELOAD_NOTIFICATION_DELAY_MICROS = 4_000_000;
     private static final long RESTART_DELAY_MICROS = 300_000;
+    private static final long SIGNAL_INTERVAL_MICROS = 100_000;
     private static final long WATCH_INTERVAL_MICROS = 100_000;
     private static final long READY_TIMEOUT_MICROS = 10_000_000;
     private static final int CALLER_CONNECTIONS = 4;
@@ -180,6 +181,27 @@
         });
     }
 
+    /** Restarts the process as {@link #restart}, with further signals shortly before and after the SIGTERM. */
+    void restartAmidSignals() {
+        reload();
+        loop.at(loop.now() + SIGNAL_INTERVAL_MICROS, () -> {
+            Process signalled = process.process();
+            restart();
+            loop.at(loop.now() + SIGNAL_INTERVAL_MICROS, () -> sendSignal(signalled, "HUP"));
+            loop.at(loop.now() + 2 * SIGNAL_INTERVAL_MICROS, () -> sendSignal(signalled, "TERM"));
+        });
+    }
+
+    private void sendSignal(Process signalled, String signal) {
+        if (signalled.isAlive()) {
+            runBlocking(() -> kill(signalled, signal), () -> log.add(party(), "SIG" + signal + " again"));
+        }
+    }
+
+    private static void kill(Process signalled, String signal) throws IOException {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(signalled.pid())).start();
+    }
+
     /** Returns the time from SIGTERM to SIGKILL. */
     long maxTerminationMicros() {
         return Math.min(deployment.maxDeadlineMicros(), MAX_KILL_DEADLINE_MICROS) + KILL_MARGIN_MICROS;
@@ -232,7 +254,7 @@
         int publishedSerial = directory.serial();
         runBlocking(() -> {
             configure();
-            new ProcessBuilder("kill", "-HUP", Long.toString(process.process().pid())).start();
+            kill(process.process(), "HUP");
         }, () -> {
             log.add(party(), "SIGHUP, the directory moves to port " + directory.port());
             loop.at(loop.now() + RELOAD_NOTIFICATION_DELAY_MICROS, () -> judge.listDelivered(number, publishedSerial));
--- a/src/test/java/wingspread/testbed/soak/SoakTest.java
+++ b/src/test/java/wingspread/testbed/soak/SoakTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
@@ -28,7 +29,10 @@
 
     @Test
     void shortSoakBreaksNoRule() throws Exception {
-        Soak soak = new Soak(new Soak.Plan(1, SEEDS, SECONDS, Set.of(), 2, 0, List.of()), folder, outcome -> { });
+        // Faults that are drawn separately have a soak of their own, so that these seeds stay as they are.
+        Set<FaultKind> kinds = Arrays.stream(FaultKind.values()).filter(kind -> !kind.drawnSeparately())
+                .collect(Collectors.toCollection(() -> EnumSet.noneOf(FaultKind.class)));
+        Soak soak = new Soak(new Soak.Plan(1, SEEDS, SECONDS, kinds, 2, 0, List.of()), folder, outcome -> { });
         List<Soak.Outcome> outcomes = soak.run();
         String report = new SoakReport(outcomes, SECONDS, Duration.ofMinutes(1), Duration.ZERO).text();
         assertEquals(List.of(), outcomes.stream().filter(Soak.Outcome::hasFailed).map(SoakReport::describe).toList());
@@ -51,6 +55,19 @@
                 .allMatch(fault -> fault.kind() == FaultKind.HANG));
     }
 
+    @Test
+    void separatelyDrawnFaultsLeaveTheOthersOfASeedUnchanged() {
+        for (long seed = 0; seed < 50; seed++) {
+            Schedule all = ScheduleGenerator.generate(seed, 12, Set.of());
+            Schedule others = ScheduleGenerator.generate(seed, 12, EnumSet.complementOf(EnumSet.of(FaultKind.RETURN,
+                    FaultKind.SIGNALS, FaultKind.CLOSE_IDLE, FaultKind.FORGET_IDLE)));
+            assertEquals(others.faults(),
+                    all.faults().stream().filter(fault -> !fault.kind().drawnSeparately()).toList());
+            assertEquals(others.deployment(), all.deployment());
+            assertTrue(all.faults().size() > others.faults().size());
+        }
+    }
+
     @Test
     void rejectsInvalidScheduleWithOneLineMessage() throws Exception {
         Path file = folder.resolve("bad.json");
