Match releases to calls by the exchange, not by the number of one link to it

Cause: an exchange that leaves the directory and returns, or whose address passes to another, gets a new number and a new link, while the connections of the earlier link are read for 8 s more. The exchange knows one softswitch with several connections and may send a release on any of them once that of the set-up has ended. Planner.findAttempt wanted the number of the link on which the release came, so one that came on the earlier link was acknowledged and ignored. Change: a release carries the other numbers under which its exchange is or was listed (same address or same id), told by Links when it is read, as the link may be gone by the planner's turn. The planner ends the call if the attempt has any of them, and counts the message as a sign of life for all. Answers still belong to the connection of their set-up alone. A release from an exchange with another address and id is ignored and counted as before (PlannerTest).

--- a/src/main/java/wingspread/core/Event.java
+++ b/src/main/java/wingspread/core/Event.java
@@ -1,6 +1,7 @@
 package wingspread.core;
 
 import java.util.List;
+import java.util.Set;
 import wingspread.control.CallControl.Cause;
 import wingspread.control.CallControl.Exchange;
 import wingspread.control.CallControl.ListKind;
@@ -28,8 +29,24 @@
     record Rejected(long exchange, String call, Status status, Cause cause, Report report)
             implements Event { }
 
-    /** An exchange has released an established call. */
-    record Released(long exchange, String call, int cause, Report report) implements Event { }
+    /**
+     * An exchange has released an established call.
+     *
+     * @param exchange the exchange to whose connection the message belongs
+     * @param otherNumbers other numbers of the same exchange: it has left the directory and returned, or its address
+     *     has passed from one exchange to another
+     */
+    record Released(long exchange, Set<Long> otherNumbers, String call, int cause, Report report) implements Event {
+        /** Creates the release of a call by an exchange that has one number. */
+        public Released(long exchange, String call, int cause, Report report) {
+            this(exchange, Set.of(), call, cause, report);
+        }
+
+        /** Whether the message comes from the exchange with this number. */
+        boolean isFrom(long number) {
+            return number == exchange || otherNumbers.contains(number);
+        }
+    }
 
     /** A set-up has ended on this side: it was not sent, its connection was lost, or it was cancelled. */
     record AttemptAborted(Attempt attempt, Status status) implements Event { }
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -246,6 +246,7 @@
             exchangeMonitor.recordMessage(now, e.exchange());
         } else if (event instanceof Event.Released e) {
             exchangeMonitor.recordMessage(now, e.exchange());
+            e.otherNumbers().forEach(number -> exchangeMonitor.recordMessage(now, number));
         } else if (event instanceof Event.Reported e) {
             exchangeMonitor.recordMessage(now, e.exchange());
         }
@@ -395,8 +396,8 @@
             unknownCallReleased(event);
             return;
         }
-        Attempt attempt = findAttempt(event.exchange(), event.call());
-        if (attempt == null) {
+        Attempt attempt = state.lastAttempt();
+        if (attempt == null || !event.isFrom(attempt.exchange())) {
             ignoreRelease(event, IgnoredReleaseReason.OTHER_EXCHANGE);
         } else if (attempt.isEstablished()) {
             endEstablishedCall(now, state, event.cause() == CAUSE_NORMAL_CLEARING ? Status.OK : Status.RESET,
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -172,6 +172,14 @@
         }
     }
 
+    /**
+     * Whether another link leads to the same exchange: to the same address, or to the same id. An exchange gets a new
+     * number when it leaves the directory and returns, and its address may pass to another exchange.
+     */
+    boolean hasSameExchangeAs(Link other) {
+        return endpoint.equals(other.endpoint) || uid.equals(other.uid);
+    }
+
     /** Whether the exchange has left the directory. */
     boolean isRetired() {
         return retired;
@@ -502,7 +510,7 @@
                 CALLS.debug("{} release read exchange={} local-port={}", message.callId(), exchangeNumber,
                         MessageHandler.localPort(channel));
                 write(channel, message.reply(200, "OK"));
-                events.accept(new Event.Released(exchangeNumber, message.callId(),
+                events.accept(new Event.Released(exchangeNumber, links.otherNumbers(this), message.callId(),
                         ExchangeMessages.releaseCause(message), report));
             }
             case "ACK" -> events.accept(new Event.ExchangeAlive(exchangeNumber));
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -4,9 +4,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wingspread.control.CallControl.Readiness;
@@ -131,6 +133,13 @@
         return true;
     }
 
+    /** Returns the numbers of the other links that lead to the same exchange as {@code link}. */
+    Set<Long> otherNumbers(Link link) {
+        return links.entrySet().stream()
+                .filter(other -> other.getValue() != link && other.getValue().hasSameExchangeAs(link))
+                .map(Map.Entry::getKey).collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Removes a retired link that has no connection left. */
     void remove(long exchange) {
         links.remove(exchange);
