Read a connection that is replaced until its exchange closes it too

A call that its exchange released at the moment in which the softswitch replaced the call's connection would stand on for good. Cause: Link opened the replacement first and then closed the old connection in both directions. What the exchange sent until it had read the close met a closed socket, and is not repeated: 'the next one opened' was open already. Three places did so: an unresponsive connection that is replaced, a check of a silent exchange, and closing surplus idle connections. Change: such a connection is closed for sending alone and read until the exchange closes it, 8 s at most; its set-ups end as before. It counts toward the four connections and the descriptors, and the oldest one gives way to a new connection. The state of one connection is now a class of its own (ExchangeConnection), and a release of ours that cannot be sent is logged and counted (sent.releases-dropped). Result: three tests in LinksTest, one for each place, failed before (no release read in 10 s) and pass; the other LinksTest cases and ReturnedExchangeTest pass.

--- /dev/null
+++ b/src/main/java/wingspread/link/ExchangeConnection.java
@@ -0,0 +1,138 @@
+package wingspread.link;
+
+import io.netty.channel.Channel;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import wingspread.core.Attempt;
+import wingspread.net.CloseReason;
+import wingspread.net.Loop;
+import wingspread.net.MessageHandler;
+import wingspread.sip.SipMessage;
+
+/** One open connection to an exchange, with the set-ups that await their final response on it. */
+final class ExchangeConnection {
+    /** The term within which callers are told of the end of a call, and so the longest use of a late release. */
+    private static final long MAX_HALF_CLOSED_MICROS = 8_000_000;
+
+    private final Loop loop;
+    private final Channel channel;
+    private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+    private final long connectedAt;
+    private long lastReceivedAt;
+    private boolean hasReceived;
+    private boolean unresponsive;
+    private boolean halfClosed;
+
+    ExchangeConnection(Loop loop, Channel channel) {
+        this.loop = loop;
+        this.channel = channel;
+        connectedAt = loop.now();
+        lastReceivedAt = connectedAt;
+    }
+
+    /** Returns when the connection was established, in microseconds since the Unix epoch. */
+    long connectedAt() {
+        return connectedAt;
+    }
+
+    /** Returns the local port, which identifies the connection in the log. */
+    int localPort() {
+        return MessageHandler.localPort(channel);
+    }
+
+    // State.
+
+    /** Whether messages may be sent: the connection is open in both directions and not known to be unresponsive. */
+    boolean isUsable() {
+        return !unresponsive && !halfClosed && channel.isActive();
+    }
+
+    /** Whether it was closed for sending and is only read. */
+    boolean isHalfClosed() {
+        return halfClosed;
+    }
+
+    /** Whether no set-up awaits its final response. */
+    boolean hasNoAttempts() {
+        return attempts.isEmpty();
+    }
+
+    /** Whether it is open, no set-up is in progress, no message is received in part, and all data has been sent. */
+    boolean isIdle() {
+        return attempts.isEmpty() && channel.isActive() && !MessageHandler.hasPendingData(channel);
+    }
+
+    boolean hasReceived() {
+        return hasReceived;
+    }
+
+    boolean isUnresponsive() {
+        return unresponsive;
+    }
+
+    void markUnresponsive() {
+        unresponsive = true;
+    }
+
+    /** Records a message from the exchange, which shows that the connection works. */
+    void messageReceived() {
+        lastReceivedAt = loop.now();
+        hasReceived = true;
+        unresponsive = false;
+    }
+
+    /** Returns when a message was last received, in microseconds; at first the time of the connect. */
+    long lastReceivedAt() {
+        return lastReceivedAt;
+    }
+
+    // Set-ups.
+
+    void addAttempt(Attempt attempt) {
+        attempts.put(attempt.request().id(), attempt);
+    }
+
+    /** Removes and returns the set-up of a call; null if there is none. */
+    Attempt removeAttempt(String call) {
+        return attempts.remove(call);
+    }
+
+    /** Removes a set-up, and returns false if it was not sent on this connection. */
+    boolean removeAttempt(Attempt attempt) {
+        return attempts.remove(attempt.request().id(), attempt);
+    }
+
+    /** Removes and returns all set-ups. */
+    List<Attempt> removeAttempts() {
+        List<Attempt> removed = List.copyOf(attempts.values());
+        attempts.clear();
+        return removed;
+    }
+
+    // Sending and closing.
+
+    /** Writes a message, which is sent after the turn; none is written once the connection is closed for sending. */
+    void write(SipMessage message) {
+        if (!halfClosed) {
+            MessageHandler.write(channel, message.encode());
+            loop.flushAfterTurn(channel);
+        }
+    }
+
+    /**
+     * Closes the connection for sending and goes on reading it until the exchange closes it too. The exchange may send
+     * a release on it until it has read the close, and does not repeat that release on connections opened before.
+     */
+    void halfClose(CloseReason reason) {
+        if (!halfClosed) {
+            halfClosed = true;
+            MessageHandler.closeOutput(channel, reason, MAX_HALF_CLOSED_MICROS);
+        }
+    }
+
+    /** Closes the connection in both directions. */
+    void close(CloseReason reason) {
+        MessageHandler.close(channel, reason);
+    }
+}
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -11,10 +11,10 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -63,7 +63,7 @@
     private InetSocketAddress endpoint;
     private Readiness readiness = Readiness.READY;
     /** Open connections, oldest first. */
-    private final Map<Channel, Connection> connections = new LinkedHashMap<>();
+    private final Map<Channel, ExchangeConnection> connections = new LinkedHashMap<>();
     private final ArrayDeque<Attempt> waitingAttempts = new ArrayDeque<>();
     private final ArrayDeque<SipMessage> unsentReleases = new ArrayDeque<>();
     private boolean connecting;
@@ -82,21 +82,6 @@
     private final Backoff backoff;
     private final ExchangeMessages messages = new ExchangeMessages();
 
-    /** State of one open connection. */
-    private static final class Connection {
-        /** Attempts that await their final response on this connection, by call id. */
-        final Map<String, Attempt> attempts = new LinkedHashMap<>();
-        final long connectedAt;
-        long lastReceivedAt;
-        boolean hasReceived;
-        boolean unresponsive;
-
-        Connection(long now) {
-            connectedAt = now;
-            lastReceivedAt = now;
-        }
-    }
-
     Link(Loop loop, DirectoryEntry listing, long connectTimeoutMicros, Backoff backoff, Links links,
             Consumer<Event> events, Metrics metrics) {
         this.links = links;
@@ -116,9 +101,9 @@
         if (!endpoint.equals(listing.endpoint())) {
             // The exchange has a new address; the old one may already belong to another exchange.
             endpoint = listing.endpoint();
-            connections.values().forEach(connection -> connection.unresponsive = true);
+            connections.values().forEach(ExchangeConnection::markUnresponsive);
         }
-        if (newestResponsive() == null) {
+        if (newestUsable() == null) {
             connect();
         }
     }
@@ -132,7 +117,7 @@
      */
     boolean startupComplete() {
         return retired || stateReported || connectFailed || connections.values().stream()
-                .anyMatch(connection -> loop.now() - connection.connectedAt >= Math.max(MIN_INITIAL_REPORT_WAIT_MICROS,
+                .anyMatch(connection -> loop.now() - connection.connectedAt() >= Math.max(MIN_INITIAL_REPORT_WAIT_MICROS,
                         INITIAL_REPORT_CONNECT_TIMES * connectDurationMicros));
     }
 
@@ -140,7 +125,7 @@
     void close(CloseReason reason) {
         closed = true;
         failWaiting();
-        List.copyOf(connections.keySet()).forEach(channel -> MessageHandler.close(channel, reason));
+        List.copyOf(connections.values()).forEach(connection -> connection.close(reason));
     }
 
     /**
@@ -156,19 +141,21 @@
         LOG.info("exchange {} {} {} has left the directory, {} connections are read for up to {} ms", exchangeNumber, uid,
                 endpoint, connections.size(), maxMicros / 1_000);
         failWaiting();
-        for (Map.Entry<Channel, Connection> entry : connections.entrySet()) {
-            List<Attempt> attempts = List.copyOf(entry.getValue().attempts.values());
-            entry.getValue().attempts.clear();
-            for (Attempt attempt : attempts) {
+        for (ExchangeConnection connection : connections.values()) {
+            for (Attempt attempt : connection.removeAttempts()) {
                 metrics.count("sent.CANCEL");
-                write(entry.getKey(), messages.cancel(attempt));
+                connection.write(messages.cancel(attempt));
                 events.accept(new Event.AttemptAborted(attempt, Status.RESET));
             }
         }
-        if (connections.isEmpty()) {
+        removeIfDone();
+        loop.at(loop.now() + maxMicros, () -> close(CloseReason.GONE));
+    }
+
+    /** Removes a retired link once it has no connection and none is being opened. */
+    private void removeIfDone() {
+        if (retired && connections.isEmpty()) {
             links.remove(exchangeNumber);
-        } else {
-            loop.at(loop.now() + maxMicros, () -> close(CloseReason.GONE));
         }
     }
 
@@ -190,9 +177,8 @@
      * has been received in part, and all written data has been sent.
      */
     boolean idle() {
-        return !connections.isEmpty() && waitingAttempts.isEmpty() && connections.entrySet().stream()
-                .allMatch(e -> e.getValue().attempts.isEmpty() && e.getKey().isActive()
-                        && !MessageHandler.hasPendingData(e.getKey()));
+        return !connections.isEmpty() && waitingAttempts.isEmpty()
+                && connections.values().stream().allMatch(ExchangeConnection::isIdle);
     }
 
     /** Returns when a set-up was last sent, in microseconds since the Unix epoch; 0 if never. */
@@ -202,13 +188,13 @@
 
     /** Closes all connections so that other links can open theirs; the next message to be sent connects again. */
     void evict() {
-        List.copyOf(connections.keySet()).forEach(channel -> MessageHandler.close(channel, CloseReason.MADE_ROOM));
+        List.copyOf(connections.values()).forEach(connection -> connection.close(CloseReason.MADE_ROOM));
     }
 
     /** Closes the connections without attempts, except for the oldest of them. */
     void closeIdle() {
-        connections.entrySet().stream().filter(e -> e.getValue().attempts.isEmpty()).skip(1).map(Map.Entry::getKey)
-                .toList().forEach(channel -> MessageHandler.close(channel, CloseReason.SILENT));
+        connections.values().stream().filter(connection -> connection.hasNoAttempts() && !connection.isHalfClosed())
+                .skip(1).forEach(connection -> connection.halfClose(CloseReason.SILENT));
     }
 
     // Requests of the planner.
@@ -218,9 +204,9 @@
      * closed or retired.
      */
     void invite(Attempt attempt) {
-        Channel channel = closed ? null : newestResponsive();
-        if (channel != null) {
-            send(channel, attempt);
+        ExchangeConnection connection = closed ? null : newestUsable();
+        if (connection != null) {
+            send(connection, attempt);
         } else if (closed || waitingAttempts.size() >= MAX_WAITING_ATTEMPTS) {
             events.accept(new Event.AttemptAborted(attempt, Status.CONNECT_FAILED));
         } else {
@@ -229,11 +215,11 @@
         }
     }
 
-    private void send(Channel channel, Attempt attempt) {
-        connections.get(channel).attempts.put(attempt.request().id(), attempt);
+    private void send(ExchangeConnection connection, Attempt attempt) {
+        connection.addAttempt(attempt);
         lastUsedAt = loop.now();
         metrics.count("sent.INVITE");
-        write(channel, messages.invite(attempt, attempt.deadline() - loop.now()));
+        connection.write(messages.invite(attempt, attempt.deadline() - loop.now()));
     }
 
     /** Cancels an attempt that has not been answered yet. */
@@ -241,11 +227,10 @@
         if (waitingAttempts.remove(attempt)) {
             return;
         }
-        for (Map.Entry<Channel, Connection> entry : connections.entrySet()) {
-            Connection connection = entry.getValue();
-            if (connection.attempts.remove(attempt.request().id(), attempt)) {
+        for (ExchangeConnection connection : connections.values()) {
+            if (connection.removeAttempt(attempt)) {
                 metrics.count("sent.CANCEL");
-                write(entry.getKey(), messages.cancel(attempt));
+                connection.write(messages.cancel(attempt));
                 replaceIfUnresponsive(connection, attempt);
                 return;
             }
@@ -257,12 +242,13 @@
      * at least half the connect timeout ago. A machine that has crashed or was cut off for a while leaves connections
      * that stay open without traffic indefinitely, and releases sent on them are lost.
      */
-    private void replaceIfUnresponsive(Connection connection, Attempt attempt) {
+    private void replaceIfUnresponsive(ExchangeConnection connection, Attempt attempt) {
         if (loop.now() >= attempt.sentAt() + connectTimeoutMicros / 2
-                && connection.lastReceivedAt <= attempt.sentAt()) {
-            connection.unresponsive = true;
-            LOG.info("exchange {} {} is unresponsive: nothing received for {} ms, no response to the set-up of call {}",
-                    exchangeNumber, endpoint, (loop.now() - connection.lastReceivedAt) / 1_000, attempt.request().id());
+                && connection.lastReceivedAt() <= attempt.sentAt()) {
+            connection.markUnresponsive();
+            LOG.info("exchange {} {} is unresponsive: nothing received for {} ms, no response to the set-up of call {}"
+                    + " local-port={}", exchangeNumber, endpoint, (loop.now() - connection.lastReceivedAt()) / 1_000,
+                    attempt.request().id(), connection.localPort());
             // Connect even if another connection works: the exchange repeats on a new connection the releases of calls
             // that were set up on the unresponsive one.
             connect();
@@ -276,30 +262,43 @@
     void release(String call, int cause) {
         SipMessage bye = messages.bye(call, cause);
         metrics.count("sent.BYE");
-        Channel channel = newestResponsive();
-        if (channel != null) {
-            write(channel, bye);
+        ExchangeConnection connection = newestUsable();
+        if (connection != null) {
+            connection.write(bye);
         } else if (!closed && unsentReleases.size() < MAX_UNSENT_RELEASES) {
             unsentReleases.add(bye);
             connect();
+        } else {
+            metrics.count("sent.releases-dropped");
+            CALLS.info("{} release to exchange={} dropped: {}", call, exchangeNumber,
+                    closed ? "it has left the directory" : "too many wait for a connection");
         }
     }
 
     // Connections.
 
-    /** Returns the newest active connection that is not marked unresponsive, or null. */
-    private Channel newestResponsive() {
-        Channel newest = null;
-        for (Map.Entry<Channel, Connection> entry : connections.entrySet()) {
-            if (!entry.getValue().unresponsive && entry.getKey().isActive()) {
-                newest = entry.getKey();
-            }
+    /** Returns the newest connection on which messages may be sent, or null. */
+    private ExchangeConnection newestUsable() {
+        ExchangeConnection newest = null;
+        for (ExchangeConnection connection : connections.values()) {
+            newest = connection.isUsable() ? connection : newest;
         }
         return newest;
     }
 
+    /** Makes room for another connection if there are too many: closes the oldest one that is only read. */
+    private boolean hasRoomForConnection() {
+        if (connections.size() < MAX_CONNECTIONS) {
+            return true;
+        }
+        Optional<ExchangeConnection> halfClosed =
+                connections.values().stream().filter(ExchangeConnection::isHalfClosed).findFirst();
+        halfClosed.ifPresent(connection -> connection.close(CloseReason.REPLACED));
+        return halfClosed.isPresent();
+    }
+
     private void connect() {
-        if (connecting || closed || connections.size() >= MAX_CONNECTIONS) {
+        if (connecting || closed || !hasRoomForConnection()) {
             return;
         }
         if (!links.reserveConnection(!waitingAttempts.isEmpty() || !unsentReleases.isEmpty())) {
@@ -331,11 +330,13 @@
         if (closed || pendingChecks >= MAX_PENDING_CHECKS) {
             return false;
         }
-        if (connections.size() > 1) {
-            connections.entrySet().stream().filter(e -> e.getValue().attempts.isEmpty()).map(Map.Entry::getKey)
-                    .findFirst().ifPresent(channel -> MessageHandler.close(channel, CloseReason.REPLACED));
+        List<ExchangeConnection> open =
+                connections.values().stream().filter(connection -> !connection.isHalfClosed()).toList();
+        if (open.size() > 1) {
+            open.stream().filter(ExchangeConnection::hasNoAttempts).findFirst()
+                    .ifPresent(connection -> connection.halfClose(CloseReason.REPLACED));
         }
-        if (connections.size() >= MAX_CONNECTIONS || !links.reserveConnection(true)) {
+        if (!hasRoomForConnection() || !links.reserveConnection(true)) {
             return false;
         }
         pendingChecks++;
@@ -369,9 +370,10 @@
         CloseReason reason = cause instanceof ConnectTimeoutException ? CloseReason.CONNECT_TIMEOUT
                 : cause instanceof ConnectException ? CloseReason.REFUSED : CloseReason.RESET;
         LOG.info("exchange {} {} ended {}", exchangeNumber, endpoint, reason);
-        Channel channel = newestResponsive();
-        if (channel != null) {
-            sendWaiting(channel);
+        removeIfDone();
+        ExchangeConnection connection = newestUsable();
+        if (connection != null) {
+            sendWaiting(connection);
             return;
         }
         failWaiting();
@@ -395,35 +397,42 @@
             return;
         }
         connectDurationMicros = loop.now() - startedAt;
-        for (Map.Entry<Channel, Connection> old : List.copyOf(connections.entrySet())) {
-            if (old.getValue().unresponsive) {
-                MessageHandler.close(old.getKey(), CloseReason.SILENT);
+        for (ExchangeConnection old : List.copyOf(connections.values())) {
+            if (old.isUnresponsive()) {
+                abortAttempts(old);
+                old.halfClose(CloseReason.SILENT);
             }
         }
-        connections.put(future.channel(), new Connection(loop.now()));
+        ExchangeConnection connection = new ExchangeConnection(loop, future.channel());
+        connections.put(future.channel(), connection);
         LOG.info("exchange {} {} {} local-port={} connected in {} ms, {} open, {} set-ups waiting", exchangeNumber, uid,
-                endpoint, MessageHandler.localPort(future.channel()), connectDurationMicros / 1_000, connections.size(),
+                endpoint, connection.localPort(), connectDurationMicros / 1_000, connections.size(),
                 waitingAttempts.size());
-        sendReleases(future.channel());
-        sendWaiting(future.channel());
+        sendReleases(connection);
+        sendWaiting(connection);
+    }
+
+    private void abortAttempts(ExchangeConnection connection) {
+        connection.removeAttempts().forEach(attempt ->
+                events.accept(new Event.AttemptAborted(attempt, Status.RESET)));
     }
 
     /** Sends the set-ups that have waited for a connection. */
-    private void sendWaiting(Channel channel) {
+    private void sendWaiting(ExchangeConnection connection) {
         while (!waitingAttempts.isEmpty()) {
             Attempt attempt = waitingAttempts.remove();
             // A draining exchange must not receive set-ups, and it may have begun to drain during the connect.
             if (readiness != Readiness.READY) {
                 events.accept(new Event.AttemptAborted(attempt, Status.CONNECT_FAILED));
             } else if (attempt.isPending()) {
-                send(channel, attempt);
+                send(connection, attempt);
             }
         }
     }
 
-    private void sendReleases(Channel channel) {
+    private void sendReleases(ExchangeConnection connection) {
         while (!unsentReleases.isEmpty()) {
-            write(channel, unsentReleases.remove());
+            connection.write(unsentReleases.remove());
         }
     }
 
@@ -442,34 +451,27 @@
         LOG.info("exchange {} {} reconnecting in {} ms", exchangeNumber, endpoint, delayMicros / 1_000);
         loop.at(loop.now() + delayMicros, () -> {
             reconnectScheduled = false;
-            if (newestResponsive() == null) {
+            if (newestUsable() == null) {
                 connect();
             }
         });
     }
 
-    private void write(Channel channel, SipMessage message) {
-        MessageHandler.write(channel, message.encode());
-        loop.flushAfterTurn(channel);
-    }
-
     @Override
     public void ended(Channel channel, CloseReason reason) {
-        Connection connection = connections.remove(channel);
+        ExchangeConnection connection = connections.remove(channel);
         if (connection == null) {
             return;
         }
         links.releaseConnection();
-        for (Attempt attempt : new ArrayList<>(connection.attempts.values())) {
-            events.accept(new Event.AttemptAborted(attempt, Status.RESET));
-        }
-        if (retired && connections.isEmpty()) {
-            links.remove(exchangeNumber);
-        }
-        if (!connections.isEmpty() || reason == CloseReason.MADE_ROOM) {
+        abortAttempts(connection);
+        removeIfDone();
+        boolean replaced = connection.isHalfClosed() || reason == CloseReason.MADE_ROOM
+                || connections.values().stream().anyMatch(other -> !other.isHalfClosed());
+        if (replaced) {
             return;
         }
-        if (connection.hasReceived) {
+        if (connection.hasReceived()) {
             connect();
         } else {
             // An exchange that has reached its limit of connections accepts new ones and closes them before it sends
@@ -482,21 +484,21 @@
 
     @Override
     public void received(Channel channel, SipMessage message) {
-        Connection connection = connections.get(channel);
+        ExchangeConnection connection = connections.get(channel);
         if (connection == null) {
             return;
         }
-        boolean first = !connection.hasReceived;
-        connection.lastReceivedAt = loop.now();
-        connection.unresponsive = false;
+        boolean first = !connection.hasReceived();
+        connection.messageReceived();
         if (first) {
-            connection.hasReceived = true;
             backoff.reset();
         }
-        sendReleases(channel);
-        sendWaiting(channel);
+        if (connection.isUsable()) {
+            sendReleases(connection);
+            sendWaiting(connection);
+        }
         if (!message.isRequest()) {
-            handleResponse(channel, connection, message);
+            handleResponse(connection, message);
             return;
         }
         Report report = LoadReportParser.parse(message.header("X-Gauges"));
@@ -504,32 +506,32 @@
             case "NOTIFY" -> {
                 stateReported = true;
                 events.accept(new Event.Reported(exchangeNumber, report,
-                        first ? connection.connectedAt : Event.Reported.UNSOLICITED));
+                        first ? connection.connectedAt() : Event.Reported.UNSOLICITED));
             }
             case "BYE" -> {
                 CALLS.debug("{} release read exchange={} local-port={}", message.callId(), exchangeNumber,
-                        MessageHandler.localPort(channel));
-                write(channel, message.reply(200, "OK"));
+                        connection.localPort());
+                connection.write(message.reply(200, "OK"));
                 events.accept(new Event.Released(exchangeNumber, links.otherNumbers(this), message.callId(),
                         ExchangeMessages.releaseCause(message), report));
             }
             case "ACK" -> events.accept(new Event.ExchangeAlive(exchangeNumber));
             default -> {
                 events.accept(new Event.ExchangeAlive(exchangeNumber));
-                write(channel, message.reply(405, "Method Not Allowed"));
+                connection.write(message.reply(405, "Method Not Allowed"));
             }
         }
     }
 
-    private void handleResponse(Channel channel, Connection connection, SipMessage message) {
+    private void handleResponse(ExchangeConnection connection, SipMessage message) {
         if (!message.cseqMethod().equals("INVITE") || message.status() < 200) {
             events.accept(new Event.ExchangeAlive(exchangeNumber));
             return;
         }
         String call = message.callId();
-        Attempt attempt = connection.attempts.remove(call);
+        Attempt attempt = connection.removeAttempt(call);
         metrics.count("taken." + message.status());
-        write(channel, messages.ack(message, attempt));
+        connection.write(messages.ack(message, attempt));
         if (message.status() < 300) {
             events.accept(new Event.Answered(exchangeNumber, call, message.body()));
         } else {
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -25,6 +25,7 @@
 /** The connections to all exchanges, by the number that the directory assigned to each exchange. */
 public final class Links implements ExchangeTransport {
     private static final Logger LOG = LoggerFactory.getLogger("connection");
+    private static final Logger CALLS = LoggerFactory.getLogger("call");
     private static final Comparator<Link> LEAST_NEEDED =
             Comparator.comparing(Link::isRetired).thenComparingLong(Link::lastUsedAt);
 
@@ -186,9 +187,12 @@
     @Override
     public void release(long exchange, String call, int cause) {
         Link link = links.get(exchange);
-        if (link != null) {
-            link.release(call, cause);
+        if (link == null) {
+            metrics.count("sent.releases-dropped");
+            CALLS.info("{} release to exchange={} dropped: it has left the directory", call, exchange);
+            return;
         }
+        link.release(call, cause);
     }
 
     @Override
--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
@@ -75,6 +76,8 @@
     private int incompletePauses;
     /** The next check for an incomplete message; null if none is scheduled. */
     private ScheduledFuture<?> incompleteMessageCheck;
+    /** Closes a connection whose peer does not close it after {@link #closeOutput}; null before that. */
+    private ScheduledFuture<?> halfCloseTimeout;
     private CloseReason closeReason = CloseReason.PEER_CLOSED;
     private String closeDetail = "";
 
@@ -98,6 +101,26 @@
         channel.close();
     }
 
+    /**
+     * Closes a connection for sending once all written data is sent, and goes on reading it until the peer closes it
+     * too.
+     *
+     * @param reason is logged with its end
+     * @param maxMicros the time after which it is closed in any case
+     */
+    public static void closeOutput(Channel channel, CloseReason reason, long maxMicros) {
+        MessageHandler<?> handler = channel.pipeline().get(MessageHandler.class);
+        if (handler == null || !channel.isActive() || !(channel instanceof DuplexChannel duplex)) {
+            close(channel, reason);
+            return;
+        }
+        handler.closeReason = reason;
+        channel.flush();
+        duplex.shutdownOutput();
+        handler.halfCloseTimeout =
+                channel.eventLoop().schedule(() -> close(channel, reason), maxMicros, TimeUnit.MICROSECONDS);
+    }
+
     /** Returns the local port of a connection, which identifies it in the log; 0 if it is not known. */
     public static int localPort(Channel channel) {
         return channel.localAddress() instanceof InetSocketAddress address ? address.getPort() : 0;
@@ -196,6 +219,9 @@
             // The check would keep the closed channel until its time.
             incompleteMessageCheck.cancel(false);
         }
+        if (halfCloseTimeout != null) {
+            halfCloseTimeout.cancel(false);
+        }
         listener.ended(ctx.channel(), closeReason);
     }
 
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -12,6 +12,7 @@
 import java.net.ServerSocket;
 import java.net.SocketTimeoutException;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
@@ -334,6 +335,74 @@
         assertEquals(0, runInLoop(links::openCount));
     }
 
+    private static ByteBuf release(String call) {
+        return SipMessage.request("BYE", "sip:x@net").with("Call-ID", call).with("CSeq", "1 BYE")
+                .with("Reason", "Q.850;cause=16").encode();
+    }
+
+    private void assertReadsReleaseThatCrossesClose(Wire<SipMessage> replaced) throws Exception {
+        assertTrue(replaced.awaitClose());
+        replaced.send(release("a"));
+        Event event = nextEvent();
+        while (event instanceof Event.Reported || event instanceof Event.AttemptAborted) {
+            event = nextEvent();
+        }
+        assertEquals("a", ((Event.Released) event).call());
+        replaced.close();
+    }
+
+    @Test
+    void readsReleaseThatCrossesReplacementOfUnresponsiveConnection() throws Exception {
+        Wire<SipMessage> unresponsive = accept();
+        cancelAfter(1_500_000, unresponsive);
+        try (Wire<SipMessage> replacement = accept()) {
+            awaitEstablished(replacement);
+            assertReadsReleaseThatCrossesClose(unresponsive);
+            while (runInLoop(links::openCount) > 1) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    @Test
+    void readsReleaseThatCrossesReplacementByCheck() throws Exception {
+        Wire<SipMessage> first = accept();
+        awaitEstablished(first);
+        assertTrue(runInLoop(() -> links.checkLiveness(1)));
+        awaitEstablished(accept());
+        assertTrue(runInLoop(() -> links.checkLiveness(1)));
+        assertReadsReleaseThatCrossesClose(first);
+    }
+
+    @Test
+    void readsReleaseThatCrossesCloseOfIdleConnection() throws Exception {
+        awaitEstablished(accept());
+        assertTrue(runInLoop(() -> links.checkLiveness(1)));
+        Wire<SipMessage> second = accept();
+        awaitEstablished(second);
+        loop.execute(() -> links.closeIdle(1));
+        assertReadsReleaseThatCrossesClose(second);
+    }
+
+    @Test
+    void namesOtherNumberOfReturnedExchangeWithReleaseOnEarlierConnection() throws Exception {
+        Wire<SipMessage> earlier = accept();
+        awaitEstablished(earlier);
+        updateDirectory(Readiness.GONE);
+        InetSocketAddress endpoint = (InetSocketAddress) listener.getLocalSocketAddress();
+        loop.execute(() -> links.update(List.of(
+                new DirectoryEntry("s-1", endpoint, new Exchange(2, 0, 0, 1, Readiness.READY, 1, 0)),
+                new DirectoryEntry("s-3", new InetSocketAddress(endpoint.getAddress(), 1),
+                        new Exchange(3, 0, 0, 3, Readiness.READY, 1, 0)))));
+        accept();
+        earlier.send(release("a"));
+        Event event = nextEvent();
+        while (event instanceof Event.ExchangeDown) {
+            event = nextEvent();
+        }
+        assertEquals(Set.of(2L), ((Event.Released) event).otherNumbers());
+    }
+
     @Test
     void closesConnectionsToRemovedExchangeAfterTheTerm() throws Exception {
         loop.execute(links::close);
