Read a connection that comes up after its exchange has left the directory

The release of a call from before a restart could be lost. Cause: a connect that was under way when the exchange left the directory ended in a connection that was closed unread, although the exchange sends its releases on each new connection first. Result: LinksTest.readsReleaseOnConnectionThatIsEstablishedAfterItsExchangeHasLeft failed before (no release read in 10 s) and passes.

--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -72,7 +72,10 @@
     private boolean reconnectScheduled;
     /** Whether no further connection is opened. */
     private boolean closed;
+    /** Whether the exchange has left the directory. */
     private boolean retired;
+    /** Whether connections are no longer read either. */
+    private boolean stopped;
     /** Whether a connect has failed or was not possible at the limit of connections. */
     private boolean connectFailed;
     private boolean stateReported;
@@ -124,14 +127,15 @@
     /** Closes all connections, opens no further ones, and fails the attempts that wait for a connection. */
     void close(CloseReason reason) {
         closed = true;
+        stopped = true;
         failWaiting();
         List.copyOf(connections.values()).forEach(connection -> connection.close(reason));
     }
 
     /**
      * Ends the use of an exchange that has left the directory: gives up its attempts and opens no further connections.
-     * The open ones are only read, until the exchange closes them, since releases of calls may still be under way on
-     * them.
+     * The open ones, and one that is being opened, are only read, until the exchange closes them, since releases of
+     * calls may still be under way on them.
      *
      * @param maxMicros the time after which they are closed in any case
      */
@@ -154,7 +158,7 @@
 
     /** Removes a retired link once it has no connection and none is being opened. */
     private void removeIfDone() {
-        if (retired && connections.isEmpty()) {
+        if (retired && connections.isEmpty() && !connecting && pendingChecks == 0) {
             links.remove(exchangeNumber);
         }
     }
@@ -391,9 +395,10 @@
             onConnectFailed(future.cause());
             return;
         }
-        if (closed) {
+        if (stopped) {
             links.releaseConnection();
             future.channel().close();
+            removeIfDone();
             return;
         }
         connectDurationMicros = loop.now() - startedAt;
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -384,6 +384,22 @@
         assertReadsReleaseThatCrossesClose(second);
     }
 
+    @Test
+    void readsReleaseOnConnectionThatIsEstablishedAfterItsExchangeHasLeft() throws Exception {
+        awaitEstablished(accept());
+        assertTrue(runInLoop(() -> {
+            boolean started = links.checkLiveness(1);
+            InetSocketAddress endpoint = (InetSocketAddress) listener.getLocalSocketAddress();
+            links.update(List.of(
+                    new DirectoryEntry("s-1", endpoint, new Exchange(1, 0, 0, 1, Readiness.GONE, 1, 0))));
+            return started;
+        }));
+        try (Wire<SipMessage> late = accept()) {
+            late.send(release("a"));
+            assertEquals("a", ((Event.Released) nextEvent()).call());
+        }
+    }
+
     @Test
     void namesOtherNumberOfReturnedExchangeWithReleaseOnEarlierConnection() throws Exception {
         Wire<SipMessage> earlier = accept();
