Open no link to an exchange that is listed after the hand-over of a shutdown

Cause: Links.close closes the links that there are; a list that came after it opened links anew. An exchange sends its pending releases on such a connection, and a process that has no callers any more acknowledged them in place of the next one. Change: after close, lists are ignored. Result: LinksTest.opensNoConnectionToExchangesListedAfterClose failed before (one connect) and passes.

--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -44,6 +44,7 @@
     private final IntSupplier maxConnections;
     private int openCount;
     private boolean limitReported;
+    private boolean closed;
 
     /**
      * Creates the links without any exchange; {@link #update} adds them.
@@ -81,6 +82,10 @@
      * retires the links to exchanges that have been removed.
      */
     public void update(List<DirectoryEntry> listings) {
+        if (closed) {
+            // The next process is to read what the exchanges send from now on.
+            return;
+        }
         for (DirectoryEntry listing : listings) {
             if (listing.exchange().place() == ownExchangeIndex) {
                 continue;
@@ -161,8 +166,9 @@
         return links.values().stream().allMatch(Link::startupComplete);
     }
 
-    /** Closes all connections. */
+    /** Closes all connections and opens none later. */
     public void close() {
+        closed = true;
         List.copyOf(links.values()).forEach(link -> link.close(CloseReason.SHUTDOWN));
     }
 
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -419,6 +419,19 @@
         assertEquals(Set.of(2L), ((Event.Released) event).otherNumbers());
     }
 
+    @Test
+    void opensNoConnectionToExchangesListedAfterClose() throws Exception {
+        accept();
+        loop.execute(links::close);
+        try (ServerSocket other = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress endpoint = (InetSocketAddress) other.getLocalSocketAddress();
+            loop.execute(() -> links.update(List.of(
+                    new DirectoryEntry("s-2", endpoint, new Exchange(2, 0, 0, 2, Readiness.READY, 1, 0)))));
+            runInLoop(() -> null);
+            assertEquals(0, runInLoop(() -> metrics.value("sent.connects")) - 1);
+        }
+    }
+
     @Test
     void closesConnectionsToRemovedExchangeAfterTheTerm() throws Exception {
         loop.execute(links::close);
