Send a release again whose caller closes the call's own connection at that moment

A call whose caller closes its idle connection just as the release is written would stand on for good, though other connections of callers are open. Cause: releases on connections of other calls were remembered and repeated if the connection ended right after; a release on the connection of its own call was written past that. Change: ReleaseDelivery (OrphanedReleases before) writes both. On its own connection a release counts as received after 0.1 s (the platform's 50 ms for a crossing, and its 50 ms on every time), since a caller may close it because of the release; each repeat is an INFO line.

--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -18,8 +18,6 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Predicate;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import wingspread.control.CallControl.CallClass;
 import wingspread.core.Caller;
 import wingspread.core.Event;
@@ -41,7 +39,6 @@
  * planner and the planner's results to messages; all decisions are the planner's.
  */
 public final class JsonlFront implements MessageHandler.Listener<Map<?, ?>>, Caller.UnknownCallListener {
-    private static final Logger CALLS = LoggerFactory.getLogger("call");
     private static final int REFUSED_CAUSE = 42;
     private static final int INVALID_CAUSE = 100;
     /**
@@ -66,7 +63,7 @@
     /** The open connections, each with its calls that are pending or established. */
     private final Map<Channel, ConnectionCalls> connections = new LinkedHashMap<>();
     private final Map<String, Leg> establishedLegs = new HashMap<>();
-    private final OrphanedReleases orphanedReleases;
+    private final ReleaseDelivery releaseDelivery;
     private Channel listener;
     /** Number of connections accepted so far. */
     private long accepted;
@@ -84,7 +81,7 @@
             BooleanSupplier ready, ReconnectParameters reconnects, Metrics metrics) {
         this.reconnects = reconnects;
         this.loop = loop;
-        this.orphanedReleases = new OrphanedReleases(loop, this::write);
+        this.releaseDelivery = new ReleaseDelivery(loop, this::write);
         this.classes = classes;
         this.admission = new Admission(loop, maxConnections, FIRST_MESSAGE_TIMEOUT_MICROS, this::idle);
         this.planner = planner;
@@ -192,7 +189,7 @@
         for (Leg leg : calls == null ? List.<Leg>of() : calls.pending.values()) {
             post(new Event.CallerAbandoned(leg.id, leg));
         }
-        orphanedReleases.removeConnection(channel, reason);
+        releaseDelivery.removeConnection(channel, reason);
     }
 
     /** Removes an established call, which may be null, and decrements the count of its connection. */
@@ -216,7 +213,7 @@
     @Override
     public void received(Channel channel, Map<?, ?> message) throws InvalidInputException {
         admission.messageReceived(channel);
-        orphanedReleases.markActive(channel);
+        releaseDelivery.markActive(channel);
         String call = text(message, "call");
         switch (text(message, "op")) {
             case "offer" -> offer(channel, call, message);
@@ -252,7 +249,7 @@
         if (connections.get(channel).pending.putIfAbsent(call, leg) != null) {
             throw new InvalidInputException("JSON lines: duplicate id of a pending call");
         }
-        orphanedReleases.callOffered(channel);
+        releaseDelivery.callOffered(channel);
         post(new Event.Offered(new Request(call, text(with, "class"), callClass, text(with, "key"),
                 text(message, "desc").getBytes(StandardCharsets.ISO_8859_1),
                 loop.now() + (long) (Math.min(remainingMs, MAX_REMAINING_MS) * 1_000), extras.get("dest").intValue(),
@@ -320,7 +317,7 @@
     /** Notifies a caller of the release of a call that this process has not set up. */
     @Override
     public void onEnded(String call, int cause) {
-        orphanedReleases.send(call, releaseLine(call, cause));
+        releaseDelivery.send(call, releaseLine(call, cause));
     }
 
     private static String releaseLine(String call, int cause) {
@@ -366,7 +363,7 @@
             // A call that its caller gave up in this turn is released at once, and nothing else ends it here.
             if (calls != null && calls.pending.get(id) == this) {
                 calls.establishedCount++;
-                orphanedReleases.callEstablished(channel);
+                releaseDelivery.callEstablished(channel);
                 establishedLegs.put(id, this);
             }
             answer(line("accept", id, "", -1, new String(description, StandardCharsets.ISO_8859_1)));
@@ -391,10 +388,9 @@
         public void onEnded(int cause) {
             JsonlFront.this.removeEstablished(establishedLegs.get(id));
             if (isConnected(channel)) {
-                CALLS.debug("{} release sent to its caller {}", id, channel.remoteAddress());
-                write(channel, releaseLine(id, cause));
+                releaseDelivery.sendOn(channel, id, releaseLine(id, cause));
             } else {
-                orphanedReleases.send(id, releaseLine(id, cause));
+                releaseDelivery.send(id, releaseLine(id, cause));
             }
         }
 
--- a/src/main/java/wingspread/front/jsonl/OrphanedReleases.java
+++ b/src/main/java/wingspread/front/jsonl/ReleaseDelivery.java
@@ -13,12 +13,12 @@
 import wingspread.net.Loop;
 
 /**
- * Delivers the releases of established calls whose own connection has closed, or that an earlier process set up. Such a
- * release may be sent on any connection from callers. This class chooses the connection, queues releases while there is
- * none, and sends a release again if its connection closes immediately afterwards. The queues are bounded. Confined to
- * the event loop.
+ * Delivers the releases of established calls. A release is sent on the connection of its call; if that has closed, or an
+ * earlier process set the call up, it may be sent on any connection from callers. This class chooses the connection,
+ * queues releases while there is none, and sends a release again if its connection closes immediately afterwards. The
+ * queues are bounded. Confined to the event loop.
  */
-final class OrphanedReleases {
+final class ReleaseDelivery {
     private static final Logger LOG = LoggerFactory.getLogger("call");
     private static final int MAX_QUEUED = 4_096;
     private static final int MAX_RECENTLY_SENT = 1_024;
@@ -26,9 +26,21 @@
     private static final long MAX_OFFER_WAIT_MICROS = 500_000;
     /** A release written within this time before the caller closed the connection may not have been received. */
     private static final long UNCONFIRMED_MICROS = 500_000;
+    /**
+     * The same on the connection of the call itself, whose caller may close it because of the release. The platform
+     * counts 50 ms as crossing a close, and grants 50 ms on every time.
+     */
+    private static final long UNCONFIRMED_ON_OWN_CONNECTION_MICROS = 100_000;
+
+    /**
+     * A release that was written to a connection.
+     *
+     * @param unconfirmedUntil when it counts as received, in microseconds
+     */
+    private record SentRelease(Channel channel, String call, String line, long unconfirmedUntil) { }
 
-    /** A release that was written to a connection, with the time of the write in microseconds. */
-    private record SentRelease(Channel channel, String line, long sentAt) { }
+    /** A release that waits for a connection. */
+    private record QueuedRelease(String call, String line) { }
 
     private final Loop loop;
     private final BiConsumer<Channel, String> writer;
@@ -39,7 +51,7 @@
      * offers are refused may not handle the releases of other callers' calls.
      */
     private final Set<Channel> offeredOn = new LinkedHashSet<>();
-    private final ArrayDeque<String> queued = new ArrayDeque<>();
+    private final ArrayDeque<QueuedRelease> queued = new ArrayDeque<>();
     /** The most recently written releases, oldest first. */
     private final ArrayDeque<SentRelease> recentlySent = new ArrayDeque<>();
     /** The connection on which the last complete message was received; null before the first. */
@@ -50,7 +62,7 @@
      *
      * @param writer writes a line to a connection
      */
-    OrphanedReleases(Loop loop, BiConsumer<Channel, String> writer) {
+    ReleaseDelivery(Loop loop, BiConsumer<Channel, String> writer) {
         this.loop = loop;
         this.writer = writer;
     }
@@ -76,15 +88,21 @@
         channels.add(channel);
     }
 
+    /** Sends a release on the open connection of its call. */
+    void sendOn(Channel channel, String call, String line) {
+        LOG.debug("{} release sent to its caller {}", call, channel.remoteAddress());
+        write(channel, call, line, UNCONFIRMED_ON_OWN_CONNECTION_MICROS);
+    }
+
     /** Sends a release on the preferred connection, or queues it while there is none. */
     void send(String call, String line) {
         Channel channel = preferredConnection();
         if (channel != null) {
             LOG.debug("{} release sent to caller {}", call, channel.remoteAddress());
-            write(channel, line);
+            write(channel, call, line, UNCONFIRMED_MICROS);
         } else if (queued.size() < MAX_QUEUED) {
             LOG.info("{} release queued: no caller that has offered a call is connected", call);
-            queued.add(line);
+            queued.add(new QueuedRelease(call, line));
             awaitOffer();
         } else {
             LOG.warn("{} release dropped: {} are queued until a caller connects", call, MAX_QUEUED);
@@ -101,9 +119,11 @@
             return;
         }
         for (SentRelease release : List.copyOf(recentlySent)) {
-            if (release.channel() == channel && release.sentAt() + UNCONFIRMED_MICROS >= loop.now()) {
+            if (release.channel() == channel && release.unconfirmedUntil() >= loop.now()) {
+                LOG.info("{} release sent again: its connection to {} ended {} right after it", release.call(),
+                        channel.remoteAddress(), reason);
                 recentlySent.remove(release);
-                queued.add(release.line());
+                queued.add(new QueuedRelease(release.call(), release.line()));
             }
         }
         if (!queued.isEmpty()) {
@@ -142,15 +162,16 @@
 
     private void sendQueued(Channel channel) {
         while (!queued.isEmpty()) {
-            write(channel, queued.remove());
+            QueuedRelease release = queued.remove();
+            write(channel, release.call(), release.line(), UNCONFIRMED_MICROS);
         }
     }
 
-    private void write(Channel channel, String line) {
+    private void write(Channel channel, String call, String line, long unconfirmedMicros) {
         writer.accept(channel, line);
         if (recentlySent.size() >= MAX_RECENTLY_SENT) {
             recentlySent.remove();
         }
-        recentlySent.add(new SentRelease(channel, line, loop.now()));
+        recentlySent.add(new SentRelease(channel, call, line, loop.now() + unconfirmedMicros));
     }
 }
--- a/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
+++ b/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,18 +33,24 @@
             new CallClass("plain", 1_500_000, 9_000_000, 1, 0.1, 1, 0, Effect.SAFE, RepeatGroup.ALL, 0, List.of()));
     private static final byte[] DESCRIPTION = {'v', '=', '0'};
 
-    private final Loop loop = new Loop(() -> 1_000_000_000);
+    private final AtomicLong clock = new AtomicLong(1_000_000_000);
+    private final Loop loop = new Loop(clock::get);
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final Metrics metrics = new Metrics();
     private final JsonlFront front = new JsonlFront(loop, CLASSES, () -> 100, events::add, () -> true,
             ReconnectParameters.OFF, metrics);
+    private int port;
     private Wire<Map<?, ?>> caller;
 
     @BeforeEach
-    void connect() throws Exception {
+    void listen() throws Exception {
         ChannelFuture bound = front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
-        int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
-        caller = new Wire<>(new Socket(InetAddress.getLoopbackAddress(), port), new LineDecoder());
+        port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
+        caller = connect();
+    }
+
+    private Wire<Map<?, ?>> connect() throws Exception {
+        return new Wire<>(new Socket(InetAddress.getLoopbackAddress(), port), new LineDecoder());
     }
 
     @AfterEach
@@ -103,4 +110,50 @@
         establish(offered);
         assertEquals(0, establishedLegs());
     }
+
+    /** Establishes a call on {@code caller}, and leaves another connection on which a call was established as well. */
+    private Wire<Map<?, ?>> establishOnOneOfTwoConnections(String id) throws Exception {
+        Wire<Map<?, ?>> other = caller;
+        establish(offer("other"));
+        assertEquals("accept", other.next().get("op"));
+        caller = connect();
+        Event.Offered offered = offer(id);
+        establish(offered);
+        assertEquals("accept", caller.next().get("op"));
+        runInLoop(() -> {
+            // The loop cannot read the close before it has written the release.
+            caller.close();
+            offered.caller().onEnded(16);
+            return null;
+        });
+        return other;
+    }
+
+    @Test
+    void releaseThatCrossesCloseOfItsConnectionReachesAnotherConnection() throws Exception {
+        try (Wire<Map<?, ?>> other = establishOnOneOfTwoConnections("a")) {
+            Map<?, ?> release = other.next();
+            assertEquals("end", release.get("op"));
+            assertEquals("a", release.get("call"));
+        }
+    }
+
+    @Test
+    void releaseIsNotRepeatedWhenItsConnectionClosesLater() throws Exception {
+        Event.Offered offered = offer("a");
+        establish(offered);
+        assertEquals("accept", caller.next().get("op"));
+        runInLoop(() -> {
+            offered.caller().onEnded(16);
+            return null;
+        });
+        assertEquals("end", caller.next().get("op"));
+        clock.addAndGet(150_000);
+        caller.close();
+        caller = connect();
+        establish(offer("b"));
+        assertEquals("accept", caller.next().get("op"));
+        caller.send("{\"op\":\"test\",\"call\":\"0000000000000001\",\"with\":{},\"why\":0}\n");
+        assertEquals("tested", caller.next().get("op"));
+    }
 }
