Soak: end some connections of an exchange that has just returned

Change: close-idle and forget-idle end about half of the connections, and each drawn return is followed by one of the two on the same exchange.

--- a/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
@@ -187,27 +187,27 @@
                 .forEach(call -> release(call, CAUSE_NORMAL_CLEARING));
     }
 
-    /** Closes the connections without open set-ups. */
+    /** Closes about half of the connections without open set-ups. */
     void closeIdle() {
-        idleConnections().forEach(Channel::close);
+        someIdleConnections().forEach(Channel::close);
     }
 
     /**
-     * Forgets the connections without open set-ups: nothing is read from them or written to them any longer, and they
-     * stay open.
+     * Forgets about half of the connections without open set-ups: nothing is read from them or written to them any
+     * longer, and they stay open.
      */
     void forgetIdle() {
-        List<Channel> idle = idleConnections();
+        List<Channel> idle = someIdleConnections();
         idle.forEach(channels::remove);
         if (!idle.isEmpty()) {
             log.add(uid, "forgets " + idle.size() + " connections");
         }
     }
 
-    private List<Channel> idleConnections() {
+    private List<Channel> someIdleConnections() {
         return state != State.SERVING ? List.of() : channels.keySet().stream()
                 .filter(channel -> pendingSetUps.values().stream().noneMatch(setUp -> setUp.channel() == channel))
-                .toList();
+                .filter(channel -> random.nextBoolean()).toList();
     }
 
     /** Stops the process after a drain; calls that are still established are released. */
--- a/src/main/java/wingspread/testbed/soak/FaultKind.java
+++ b/src/main/java/wingspread/testbed/soak/FaultKind.java
@@ -59,9 +59,9 @@
     LATE_CONNECT(Group.NETWORK, Target.EXCHANGE),
     /** New connections to an exchange are closed immediately. */
     CLOSE_EARLY(Group.NETWORK, Target.EXCHANGE),
-    /** An exchange closes its connections without open set-ups, every 700 ms. */
+    /** An exchange closes half of its connections without open set-ups, every 700 ms. */
     CLOSE_IDLE(Group.NETWORK, Target.EXCHANGE, true),
-    /** An exchange forgets its connections without open set-ups, every 700 ms: they stay open and silent. */
+    /** An exchange forgets half of its connections without open set-ups, every 700 ms: they stay open and silent. */
     FORGET_IDLE(Group.NETWORK, Target.EXCHANGE, true),
     /** Connections are reset after {@code size} bytes from the exchange. */
     RESET_IN_MESSAGE(Group.PIECES, Target.EXCHANGE),
--- a/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
+++ b/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
@@ -32,6 +32,7 @@
     private static final int MAX_DIRECTORY_FAULT_MS = 4_500;
     /** Maximum number of faults of the kinds that are drawn separately; a schedule that allows them has at least one. */
     private static final int MAX_SEPARATE_FAULTS = 4;
+    private static final int MAX_DISTURBANCE_DELAY_MS = 2_000;
     private static final long SEPARATE_SEED_OFFSET = 0x5eba_7a7eL;
 
     private ScheduleGenerator() { }
@@ -78,10 +79,22 @@
         }
         for (int remaining = random.nextInt(1, MAX_SEPARATE_FAULTS + 1); remaining > 0; remaining--) {
             FaultKind kind = kinds.get(random.nextInt(kinds.size()));
-            faults.add(generateFault(kind, random.nextInt(FIRST_FAULT_MS, latestMs), deployment, random));
+            PlannedFault fault = generateFault(kind, random.nextInt(FIRST_FAULT_MS, latestMs), deployment, random);
+            faults.add(fault);
+            if (kind == FaultKind.RETURN) {
+                faults.add(disturbanceAfterReturn(fault, random));
+            }
         }
     }
 
+    /** Returns a fault that ends connections of an exchange which has just returned. */
+    private static PlannedFault disturbanceAfterReturn(PlannedFault returned, SplittableRandom random) {
+        FaultKind kind = random.nextBoolean() ? FaultKind.CLOSE_IDLE : FaultKind.FORGET_IDLE;
+        int returnedAtMs = returned.atMs() + returned.size() + returned.forMs();
+        return new PlannedFault(kind, returned.target(), returnedAtMs + random.nextInt(MAX_DISTURBANCE_DELAY_MS),
+                random.nextInt(1_000, 5_001), 0);
+    }
+
     private static Deployment generateDeployment(SplittableRandom random) {
         int softswitches = random.nextInt(2, 7);
         int exchanges = random.nextInt(Math.max(3, softswitches), 13);
