Connect again for calls set up on a connection that the exchange may not see closed

Where the network has lost a connection, the exchange goes on sending the releases of its calls there for good, and callers are never told, since it answers on other connections and so counts as alive. Cause: after a silent connection was replaced, nothing asked whether the exchange had learnt of the close; it repeats a release only on 'the next one opened', and none followed. Change: a link remembers the calls set up on a connection that it has closed for sending until the exchange closes it too. If it has not after 1 s, a new connection is opened, and another every 2.5 s while such calls stand, so that a release that could not be sent reaches its caller within the 8 s. An exchange that closes in return, as each does that reads the close, costs no connection.

--- a/src/main/java/wingspread/link/ExchangeConnection.java
+++ b/src/main/java/wingspread/link/ExchangeConnection.java
@@ -1,9 +1,11 @@
 package wingspread.link;
 
 import io.netty.channel.Channel;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import wingspread.core.Attempt;
 import wingspread.net.CloseReason;
 import wingspread.net.Loop;
@@ -18,6 +20,8 @@
     private final Loop loop;
     private final Channel channel;
     private final Map<String, Attempt> attempts = new LinkedHashMap<>();
+    /** The established calls that were set up on this connection, on which the exchange sends their releases first. */
+    private final Set<String> establishedCalls = new HashSet<>();
     private final long connectedAt;
     private long lastReceivedAt;
     private boolean hasReceived;
@@ -110,6 +114,18 @@
         return removed;
     }
 
+    void callEstablished(String call) {
+        establishedCalls.add(call);
+    }
+
+    void callEnded(String call) {
+        establishedCalls.remove(call);
+    }
+
+    Set<String> establishedCalls() {
+        return establishedCalls;
+    }
+
     // Sending and closing.
 
     /** Writes a message, which is sent after the turn; none is written once the connection is closed for sending. */
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -11,10 +11,12 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -50,6 +52,10 @@
     /** Exchanges may accept a connection up to one second late. The next check may start in the meantime. */
     private static final long MIN_CHECK_CONNECT_TIMEOUT_MICROS = 1_100_000;
     private static final int MAX_PENDING_CHECKS = 3;
+    /** Time within which an exchange that reads a close closes its side too. */
+    private static final long CLOSE_CONFIRMATION_MICROS = 1_000_000;
+    /** Two of these fit into the 8 s within which callers must be notified, after the confirmation. */
+    private static final long REFRESH_INTERVAL_MICROS = 2_500_000;
     private static final int MAX_WAITING_ATTEMPTS = 256;
     private static final int MAX_UNSENT_RELEASES = 4_096;
 
@@ -66,6 +72,12 @@
     private final Map<Channel, ExchangeConnection> connections = new LinkedHashMap<>();
     private final ArrayDeque<Attempt> waitingAttempts = new ArrayDeque<>();
     private final ArrayDeque<SipMessage> unsentReleases = new ArrayDeque<>();
+    /**
+     * Established calls that were set up on connections which this side has closed and the exchange, as far as is known,
+     * has not. The exchange may go on sending their releases there, where they are lost.
+     */
+    private final Set<String> callsOnUnconfirmedConnections = new HashSet<>();
+    private boolean refreshScheduled;
     private boolean connecting;
     /** Connects in progress that {@link #checkLiveness} started. */
     private int pendingChecks;
@@ -198,7 +210,7 @@
     /** Closes the connections without attempts, except for the oldest of them. */
     void closeIdle() {
         connections.values().stream().filter(connection -> connection.hasNoAttempts() && !connection.isHalfClosed())
-                .skip(1).forEach(connection -> connection.halfClose(CloseReason.SILENT));
+                .skip(1).forEach(connection -> halfClose(connection, CloseReason.SILENT));
     }
 
     // Requests of the planner.
@@ -264,6 +276,7 @@
      * lost release would leave circuits occupied.
      */
     void release(String call, int cause) {
+        forgetEstablishedCall(call);
         SipMessage bye = messages.bye(call, cause);
         metrics.count("sent.BYE");
         ExchangeConnection connection = newestUsable();
@@ -297,7 +310,7 @@
         }
         Optional<ExchangeConnection> halfClosed =
                 connections.values().stream().filter(ExchangeConnection::isHalfClosed).findFirst();
-        halfClosed.ifPresent(connection -> connection.close(CloseReason.REPLACED));
+        halfClosed.ifPresent(connection -> connection.close(CloseReason.UNCONFIRMED));
         return halfClosed.isPresent();
     }
 
@@ -338,7 +351,7 @@
                 connections.values().stream().filter(connection -> !connection.isHalfClosed()).toList();
         if (open.size() > 1) {
             open.stream().filter(ExchangeConnection::hasNoAttempts).findFirst()
-                    .ifPresent(connection -> connection.halfClose(CloseReason.REPLACED));
+                    .ifPresent(connection -> halfClose(connection, CloseReason.REPLACED));
         }
         if (!hasRoomForConnection() || !links.reserveConnection(true)) {
             return false;
@@ -404,8 +417,7 @@
         connectDurationMicros = loop.now() - startedAt;
         for (ExchangeConnection old : List.copyOf(connections.values())) {
             if (old.isUnresponsive()) {
-                abortAttempts(old);
-                old.halfClose(CloseReason.SILENT);
+                halfClose(old, CloseReason.SILENT);
             }
         }
         ExchangeConnection connection = new ExchangeConnection(loop, future.channel());
@@ -417,6 +429,43 @@
         sendWaiting(connection);
     }
 
+    /** Ends the use of a connection, which is read until the exchange closes it. */
+    private void halfClose(ExchangeConnection connection, CloseReason reason) {
+        abortAttempts(connection);
+        connection.halfClose(reason);
+        callsOnUnconfirmedConnections.addAll(connection.establishedCalls());
+        scheduleRefresh(CLOSE_CONFIRMATION_MICROS);
+    }
+
+    /**
+     * Opens a new connection after a while if the exchange has not closed a connection on which established calls were
+     * set up. Where the network has lost that connection, the exchange does not learn of its close, and releases sent on
+     * it are lost; but the exchange repeats them on the next connection opened.
+     */
+    private void scheduleRefresh(long delayMicros) {
+        if (refreshScheduled || callsOnUnconfirmedConnections.isEmpty()) {
+            return;
+        }
+        refreshScheduled = true;
+        loop.at(loop.now() + delayMicros, () -> {
+            refreshScheduled = false;
+            if (closed || callsOnUnconfirmedConnections.isEmpty()) {
+                return;
+            }
+            LOG.info("exchange {} {} has not closed a connection in return, with {} calls set up on it: connecting"
+                    + " again", exchangeNumber, endpoint, callsOnUnconfirmedConnections.size());
+            if (pendingChecks == 0) {
+                checkLiveness();
+            }
+            scheduleRefresh(REFRESH_INTERVAL_MICROS);
+        });
+    }
+
+    private void forgetEstablishedCall(String call) {
+        callsOnUnconfirmedConnections.remove(call);
+        connections.values().forEach(connection -> connection.callEnded(call));
+    }
+
     private void abortAttempts(ExchangeConnection connection) {
         connection.removeAttempts().forEach(attempt ->
                 events.accept(new Event.AttemptAborted(attempt, Status.RESET)));
@@ -470,6 +519,9 @@
         }
         links.releaseConnection();
         abortAttempts(connection);
+        if (reason != CloseReason.UNCONFIRMED) {
+            callsOnUnconfirmedConnections.removeAll(connection.establishedCalls());
+        }
         removeIfDone();
         boolean replaced = connection.isHalfClosed() || reason == CloseReason.MADE_ROOM
                 || connections.values().stream().anyMatch(other -> !other.isHalfClosed());
@@ -517,6 +569,7 @@
                 CALLS.debug("{} release read exchange={} local-port={}", message.callId(), exchangeNumber,
                         connection.localPort());
                 connection.write(message.reply(200, "OK"));
+                forgetEstablishedCall(message.callId());
                 events.accept(new Event.Released(exchangeNumber, links.otherNumbers(this), message.callId(),
                         ExchangeMessages.releaseCause(message), report));
             }
@@ -538,6 +591,7 @@
         metrics.count("taken." + message.status());
         connection.write(messages.ack(message, attempt));
         if (message.status() < 300) {
+            connection.callEstablished(call);
             events.accept(new Event.Answered(exchangeNumber, call, message.body()));
         } else {
             events.accept(new Event.Rejected(exchangeNumber, call, ExchangeMessages.status(message.status()),
--- a/src/main/java/wingspread/net/CloseReason.java
+++ b/src/main/java/wingspread/net/CloseReason.java
@@ -24,6 +24,8 @@
     SILENT,
     /** It was idle and was replaced by a new connection that checks whether the peer is alive. */
     REPLACED,
+    /** It was closed for sending, and the peer has not closed it in return within the time limit. */
+    UNCONFIRMED,
     /** The exchange was removed from the directory. */
     GONE,
     /** This process is shutting down. */
--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -106,7 +106,7 @@
      * too.
      *
      * @param reason is logged with its end
-     * @param maxMicros the time after which it is closed in any case
+     * @param maxMicros the time after which it is closed in any case, as {@link CloseReason#UNCONFIRMED}
      */
     public static void closeOutput(Channel channel, CloseReason reason, long maxMicros) {
         MessageHandler<?> handler = channel.pipeline().get(MessageHandler.class);
@@ -117,8 +117,8 @@
         handler.closeReason = reason;
         channel.flush();
         duplex.shutdownOutput();
-        handler.halfCloseTimeout =
-                channel.eventLoop().schedule(() -> close(channel, reason), maxMicros, TimeUnit.MICROSECONDS);
+        handler.halfCloseTimeout = channel.eventLoop().schedule(() -> close(channel, CloseReason.UNCONFIRMED),
+                maxMicros, TimeUnit.MICROSECONDS);
     }
 
     /** Returns the local port of a connection, which identifies it in the log; 0 if it is not known. */
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -364,6 +364,45 @@
         }
     }
 
+    /** Establishes call 'a' on a connection that then becomes unresponsive, and returns its replacement. */
+    private Wire<SipMessage> replaceConnectionOfEstablishedCall(Wire<SipMessage> lost) throws Exception {
+        invite("a");
+        SipMessage invite = lost.next();
+        lost.send(SipMessage.response(200, "OK").with("Call-ID", invite.callId()).with("CSeq", "1 INVITE").encode());
+        assertTrue(nextEvent() instanceof Event.Answered);
+        assertEquals("ACK", lost.next().method());
+        clock.addAndGet(1);
+        Attempt attempt = invite("b");
+        assertEquals("b", lost.next().callId());
+        clock.addAndGet(1_500_000);
+        loop.execute(() -> links.cancelAttempt(attempt));
+        Wire<SipMessage> replacement = accept();
+        awaitEstablished(replacement);
+        return replacement;
+    }
+
+    @Test
+    void connectsAgainForReleaseThatExchangeSendsOnConnectionLostByNetwork() throws Exception {
+        Wire<SipMessage> lost = accept();
+        Wire<SipMessage> replacement = replaceConnectionOfEstablishedCall(lost);
+        try (Wire<SipMessage> refreshed = accept()) {
+            refreshed.send(release("a"));
+            assertEquals("a", ((Event.Released) nextEvent()).call());
+        }
+        replacement.close();
+        lost.close();
+    }
+
+    @Test
+    void doesNotConnectAgainIfExchangeClosesReplacedConnection() throws Exception {
+        Wire<SipMessage> lost = accept();
+        Wire<SipMessage> replacement = replaceConnectionOfEstablishedCall(lost);
+        lost.close();
+        listener.setSoTimeout(1_500);
+        assertThrows(SocketTimeoutException.class, () -> listener.accept());
+        replacement.close();
+    }
+
     @Test
     void readsReleaseThatCrossesReplacementByCheck() throws Exception {
         Wire<SipMessage> first = accept();
