Soak: connections that the network loses, and closes passed on in halves

Cause: the soak's network closed both halves of a connection at once, and told the exchange of every close, so it could show neither a release that crosses a close nor an exchange that goes on writing to a connection that is lost. Change: the proxy passes on that a softswitch closes for sending and lets the exchange answer; 'lose-connections' makes half of an exchange's connections transfer nothing, with neither side told.

--- a/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
@@ -444,7 +444,7 @@
         Channel target = channels.containsKey(call.channel()) && call.channel().isActive() ? call.channel() : channels.entrySet().stream()
                 .filter(c -> c.getValue() == call.softswitch() && c.getKey().isActive()).map(Map.Entry::getKey)
                 .findFirst().orElse(null);
-        if (target == null || !proxies.get(call.softswitch()).reachable()) {
+        if (target == null || !proxies.get(call.softswitch()).reachable() || isLost(target, call.softswitch())) {
             log.add(uid, id, "is over, its release cannot be sent");
             judge.callEnded(id, uid);
         } else {
@@ -458,6 +458,12 @@
         }
     }
 
+    /** Whether the network has lost a connection, which the process does not know. */
+    private boolean isLost(Channel channel, int softswitch) {
+        return channel.remoteAddress() instanceof InetSocketAddress address
+                && proxies.get(softswitch).isLost(address.getPort());
+    }
+
     /**
      * Reports a release to the judge. If the network resets connections in the middle of messages, the release may have
      * been sent only in part, so only the end of the call is reported.
--- a/src/main/java/wingspread/testbed/soak/FaultInjector.java
+++ b/src/main/java/wingspread/testbed/soak/FaultInjector.java
@@ -146,6 +146,7 @@
     private void injectIntoConnections(PlannedFault fault, ExchangeHost exchange) {
         switch (fault.kind()) {
             case RESET -> forEachProxy(exchange, FaultProxy::reset);
+            case LOSE_CONNECTIONS -> forEachProxy(exchange, proxy -> proxy.loseConnections(random::nextBoolean));
             case CLOSE_IDLE -> repeat(fault, IDLE_INTERVAL_MICROS, () -> exchange.process().closeIdle());
             case FORGET_IDLE -> repeat(fault, IDLE_INTERVAL_MICROS, () -> exchange.process().forgetIdle());
             case LATE_CONNECT -> {
--- a/src/main/java/wingspread/testbed/soak/FaultKind.java
+++ b/src/main/java/wingspread/testbed/soak/FaultKind.java
@@ -63,6 +63,8 @@
     CLOSE_IDLE(Group.NETWORK, Target.EXCHANGE, true),
     /** An exchange forgets half of its connections without open set-ups, every 700 ms: they stay open and silent. */
     FORGET_IDLE(Group.NETWORK, Target.EXCHANGE, true),
+    /** The network loses half of the connections to an exchange: they stay open on both sides and transfer nothing. */
+    LOSE_CONNECTIONS(Group.NETWORK, Target.EXCHANGE, true),
     /** Connections are reset after {@code size} bytes from the exchange. */
     RESET_IN_MESSAGE(Group.PIECES, Target.EXCHANGE),
     /** Data from an exchange arrives in segments of {@code size} bytes. */
--- a/src/main/java/wingspread/testbed/soak/FaultProxy.java
+++ b/src/main/java/wingspread/testbed/soak/FaultProxy.java
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -24,6 +26,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import wingspread.net.Loop;
@@ -109,6 +112,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -191,6 +195,24 @@
         }
     }
 
+    /**
+     * Loses some of the established connections: they never transfer data again, and neither side is notified of a
+     * close by the other.
+     *
+     * @param choice whether to lose the next connection
+     */
+    void loseConnections(BooleanSupplier choice) {
+        connections.stream().filter(connection -> choice.getAsBoolean())
+                .forEach(connection -> connection.dropsTraffic = true);
+    }
+
+    /** Whether the connection that the exchange has accepted from this port transfers no data. */
+    boolean isLost(int proxyPort) {
+        return connections.stream().anyMatch(connection -> connection.dropsTraffic
+                && connection.exchangeChannel != null
+                && ((InetSocketAddress) connection.exchangeChannel.localAddress()).getPort() == proxyPort);
+    }
+
     /** Resets the established connections. */
     void reset() {
         List.copyOf(connections).stream().filter(connection -> !connection.dropsTraffic)
@@ -281,6 +303,19 @@
             }
         }
 
+        /** Passes on that the softswitch closes the connection for sending. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event != ChannelInputShutdownEvent.INSTANCE || connection.dropsTraffic) {
+                return;
+            }
+            if (connection.exchangeChannel instanceof DuplexChannel exchangeChannel) {
+                exchangeChannel.shutdownOutput();
+            } else {
+                ctx.close();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             if (connection.dropsTraffic) {
--- a/src/test/java/wingspread/testbed/soak/SoakTest.java
+++ b/src/test/java/wingspread/testbed/soak/SoakTest.java
@@ -13,6 +13,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
@@ -30,9 +31,8 @@
     @Test
     void shortSoakBreaksNoRule() throws Exception {
         // Faults that are drawn separately have a soak of their own, so that these seeds stay as they are.
-        Set<FaultKind> kinds = Arrays.stream(FaultKind.values()).filter(kind -> !kind.drawnSeparately())
-                .collect(Collectors.toCollection(() -> EnumSet.noneOf(FaultKind.class)));
-        Soak soak = new Soak(new Soak.Plan(1, SEEDS, SECONDS, kinds, 2, 0, List.of()), folder, outcome -> { });
+        Soak soak = new Soak(new Soak.Plan(1, SEEDS, SECONDS, kinds(kind -> !kind.drawnSeparately()), 2, 0, List.of()),
+                folder, outcome -> { });
         List<Soak.Outcome> outcomes = soak.run();
         String report = new SoakReport(outcomes, SECONDS, Duration.ofMinutes(1), Duration.ZERO).text();
         assertEquals(List.of(), outcomes.stream().filter(Soak.Outcome::hasFailed).map(SoakReport::describe).toList());
@@ -40,6 +40,20 @@
         assertTrue(report.contains("| trials that broke no rule | " + SEEDS + " |"), report);
     }
 
+    private static Set<FaultKind> kinds(Predicate<FaultKind> condition) {
+        return Arrays.stream(FaultKind.values()).filter(condition)
+                .collect(Collectors.toCollection(() -> EnumSet.noneOf(FaultKind.class)));
+    }
+
+    @Test
+    void shortSoakOfReturnsAndEndingConnectionsBreaksNoRule() throws Exception {
+        Soak soak = new Soak(new Soak.Plan(101, 4, SECONDS, kinds(FaultKind::drawnSeparately), 2, 0, List.of()), folder,
+                outcome -> { });
+        List<Soak.Outcome> outcomes = soak.run();
+        assertEquals(List.of(), outcomes.stream().filter(Soak.Outcome::hasFailed).map(SoakReport::describe).toList());
+        assertTrue(outcomes.stream().mapToLong(o -> o.result().established()).sum() > 200);
+    }
+
     @Test
     void generatesSameScheduleForSameSeedAndEveryFaultOverManySeeds() throws Exception {
         Schedule original = ScheduleGenerator.generate(7, 12, Set.of());
@@ -59,8 +73,7 @@
     void separatelyDrawnFaultsLeaveTheOthersOfASeedUnchanged() {
         for (long seed = 0; seed < 50; seed++) {
             Schedule all = ScheduleGenerator.generate(seed, 12, Set.of());
-            Schedule others = ScheduleGenerator.generate(seed, 12, EnumSet.complementOf(EnumSet.of(FaultKind.RETURN,
-                    FaultKind.SIGNALS, FaultKind.CLOSE_IDLE, FaultKind.FORGET_IDLE)));
+            Schedule others = ScheduleGenerator.generate(seed, 12, kinds(kind -> !kind.drawnSeparately()));
             assertEquals(others.faults(),
                     all.faults().stream().filter(fault -> !fault.kind().drawnSeparately()).toList());
             assertEquals(others.deployment(), all.deployment());
