Connect again also for calls whose connection is closed while another one is lost

The new connection itself had closed the healthy one. The planner tells its transport of each call that ends without a release, so nothing is kept of calls that have ended. PlannerTest holds that each end is told.

--- a/src/main/java/wingspread/core/ExchangeTransport.java
+++ b/src/main/java/wingspread/core/ExchangeTransport.java
@@ -11,6 +11,9 @@
     /** Releases a call that an exchange regards as established; {@code cause} is that of Q.850. */
     void release(long exchange, String call, int cause);
 
+    /** An established call has ended without a {@link #release} toward its exchange. */
+    default void callEnded(long exchange, String call) { }
+
     /** Closes the idle connections to an exchange. */
     void closeIdle(long exchange);
 
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -503,6 +503,7 @@
         Attempt attempt = state.lastAttempt();
         attempt.end();
         exchangeMonitor.callEnded(attempt.exchange());
+        exchanges.callEnded(attempt.exchange(), state.request.id());
         metrics.count(cause == CAUSE_NORMAL_CLEARING ? "answered.over" : "answered.cut");
         log.callEnded(attempt, reason, cause);
         state.caller.onEnded(cause);
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -73,10 +73,12 @@
     private final ArrayDeque<Attempt> waitingAttempts = new ArrayDeque<>();
     private final ArrayDeque<SipMessage> unsentReleases = new ArrayDeque<>();
     /**
-     * Established calls that were set up on connections which this side has closed and the exchange, as far as is known,
-     * has not. The exchange may go on sending their releases there, where they are lost.
+     * Established calls whose connection is closed: the exchange sends their releases on any connection that is open on
+     * its side, which may be one that the network has lost.
      */
-    private final Set<String> callsOnUnconfirmedConnections = new HashSet<>();
+    private final Set<String> callsWithoutConnection = new HashSet<>();
+    /** Whether the exchange has not closed a connection in return, so that it may still use that connection. */
+    private boolean lostConnection;
     private boolean refreshScheduled;
     private boolean connecting;
     /** Connects in progress that {@link #checkLiveness} started. */
@@ -276,7 +278,7 @@
      * lost release would leave circuits occupied.
      */
     void release(String call, int cause) {
-        forgetEstablishedCall(call);
+        callEnded(call);
         SipMessage bye = messages.bye(call, cause);
         metrics.count("sent.BYE");
         ExchangeConnection connection = newestUsable();
@@ -347,12 +349,13 @@
         if (closed || pendingChecks >= MAX_PENDING_CHECKS) {
             return false;
         }
-        List<ExchangeConnection> open =
-                connections.values().stream().filter(connection -> !connection.isHalfClosed()).toList();
-        if (open.size() > 1) {
-            open.stream().filter(ExchangeConnection::hasNoAttempts).findFirst()
-                    .ifPresent(connection -> halfClose(connection, CloseReason.REPLACED));
+        if (connections.values().stream().filter(connection -> !connection.isHalfClosed()).count() > 1) {
+            halfCloseOldestIdle();
         }
+        return openAdditionalConnection();
+    }
+
+    private boolean openAdditionalConnection() {
         if (!hasRoomForConnection() || !links.reserveConnection(true)) {
             return false;
         }
@@ -433,36 +436,50 @@
     private void halfClose(ExchangeConnection connection, CloseReason reason) {
         abortAttempts(connection);
         connection.halfClose(reason);
-        callsOnUnconfirmedConnections.addAll(connection.establishedCalls());
+        callsWithoutConnection.addAll(connection.establishedCalls());
         scheduleRefresh(CLOSE_CONFIRMATION_MICROS);
     }
 
     /**
-     * Opens a new connection after a while if the exchange has not closed a connection on which established calls were
-     * set up. Where the network has lost that connection, the exchange does not learn of its close, and releases sent on
-     * it are lost; but the exchange repeats them on the next connection opened.
+     * Opens a new connection after a while if the exchange has not closed another one in return. Where the network has
+     * lost that connection, the exchange does not learn of its close, and may send releases on it; but it repeats them
+     * on the next connection opened.
      */
     private void scheduleRefresh(long delayMicros) {
-        if (refreshScheduled || callsOnUnconfirmedConnections.isEmpty()) {
+        if (refreshScheduled || callsWithoutConnection.isEmpty()) {
             return;
         }
         refreshScheduled = true;
         loop.at(loop.now() + delayMicros, () -> {
             refreshScheduled = false;
-            if (closed || callsOnUnconfirmedConnections.isEmpty()) {
-                return;
-            }
-            LOG.info("exchange {} {} has not closed a connection in return, with {} calls set up on it: connecting"
-                    + " again", exchangeNumber, endpoint, callsOnUnconfirmedConnections.size());
-            if (pendingChecks == 0) {
-                checkLiveness();
+            boolean unconfirmed =
+                    lostConnection || connections.values().stream().anyMatch(ExchangeConnection::isHalfClosed);
+            if (!closed && unconfirmed && !callsWithoutConnection.isEmpty()) {
+                refresh();
+                scheduleRefresh(REFRESH_INTERVAL_MICROS);
             }
-            scheduleRefresh(REFRESH_INTERVAL_MICROS);
         });
     }
 
-    private void forgetEstablishedCall(String call) {
-        callsOnUnconfirmedConnections.remove(call);
+    private void refresh() {
+        LOG.info("exchange {} {} has not closed a connection in return, {} calls have none: connecting again",
+                exchangeNumber, endpoint, callsWithoutConnection.size());
+        if (connections.size() >= MAX_CONNECTIONS && !hasRoomForConnection()) {
+            halfCloseOldestIdle();
+        }
+        if (pendingChecks == 0) {
+            openAdditionalConnection();
+        }
+    }
+
+    private void halfCloseOldestIdle() {
+        connections.values().stream().filter(connection -> connection.hasNoAttempts() && !connection.isHalfClosed())
+                .findFirst().ifPresent(connection -> halfClose(connection, CloseReason.REPLACED));
+    }
+
+    /** Forgets an established call, which has ended. */
+    void callEnded(String call) {
+        callsWithoutConnection.remove(call);
         connections.values().forEach(connection -> connection.callEnded(call));
     }
 
@@ -519,9 +536,9 @@
         }
         links.releaseConnection();
         abortAttempts(connection);
-        if (reason != CloseReason.UNCONFIRMED) {
-            callsOnUnconfirmedConnections.removeAll(connection.establishedCalls());
-        }
+        lostConnection |= reason == CloseReason.UNCONFIRMED;
+        callsWithoutConnection.addAll(connection.establishedCalls());
+        scheduleRefresh(CLOSE_CONFIRMATION_MICROS);
         removeIfDone();
         boolean replaced = connection.isHalfClosed() || reason == CloseReason.MADE_ROOM
                 || connections.values().stream().anyMatch(other -> !other.isHalfClosed());
@@ -569,7 +586,6 @@
                 CALLS.debug("{} release read exchange={} local-port={}", message.callId(), exchangeNumber,
                         connection.localPort());
                 connection.write(message.reply(200, "OK"));
-                forgetEstablishedCall(message.callId());
                 events.accept(new Event.Released(exchangeNumber, links.otherNumbers(this), message.callId(),
                         ExchangeMessages.releaseCause(message), report));
             }
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -201,6 +201,14 @@
         link.release(call, cause);
     }
 
+    @Override
+    public void callEnded(long exchange, String call) {
+        Link link = links.get(exchange);
+        if (link != null) {
+            link.callEnded(call);
+        }
+    }
+
     @Override
     public boolean checkLiveness(long exchange) {
         Link link = links.get(exchange);
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -35,6 +35,7 @@
 
     private final List<String> recorded = new ArrayList<>();
     private final List<Long> checks = new ArrayList<>();
+    private final List<String> endedCalls = new ArrayList<>();
     private Metrics metrics = new Metrics();
     private long lastWait;
     private long now = 1_000_000_000;
@@ -57,6 +58,11 @@
             recorded.add("release " + call + " " + cause);
         }
 
+        @Override
+        public void callEnded(long exchange, String call) {
+            endedCalls.add(call);
+        }
+
         @Override
         public void closeIdle(long exchange) {
             recorded.add("close idle " + exchange);
@@ -268,6 +274,22 @@
         assertRecorded("invite a 1", "established 6", "ended 16");
     }
 
+    @Test
+    void tellsTransportOfEachEstablishedCallThatEndsWithoutRelease() {
+        offer("a");
+        offer("b");
+        offer("c");
+        for (String call : List.of("a", "b", "c")) {
+            process(new Event.Answered(1, call, DESCRIPTION));
+        }
+        process(new Event.Released(1, "a", 16, Report.EMPTY));
+        assertEquals(List.of("a"), endedCalls);
+        process(new Event.CallerReleased("b", 16));
+        assertTrue(recorded.contains("release b 16"), recorded::toString);
+        process(new Event.ExchangeDown(1));
+        assertEquals(List.of("a", "c"), endedCalls);
+    }
+
     @Test
     void countsReleasesThatEndNothingByReason() {
         offer("a");
