Find lost connections by the state reports that arrive on others

A check of the silent exchange opened a second one, on which it spoke; no set-up followed, so nothing asked after the first, and the releases went there for good. Result: LinksTest.closesConnectionThatMissesStateReportsOfAnother failed before (not closed in 10 s) and passes; a late report keeps the connection.

--- a/src/main/java/wingspread/link/ExchangeConnection.java
+++ b/src/main/java/wingspread/link/ExchangeConnection.java
@@ -16,6 +16,8 @@
 final class ExchangeConnection {
     /** The term within which callers are told of the end of a call, and so the longest use of a late release. */
     private static final long MAX_HALF_CLOSED_MICROS = 8_000_000;
+    /** Maximum time between the arrivals of one state report on two connections. */
+    private static final long MAX_REPORT_SKEW_MICROS = 1_000_000;
 
     private final Loop loop;
     private final Channel channel;
@@ -24,6 +26,8 @@
     private final Set<String> establishedCalls = new HashSet<>();
     private final long connectedAt;
     private long lastReceivedAt;
+    /** When a state report arrived on another connection and not on this one, in microseconds; 0 if never. */
+    private long missedReportAt;
     private boolean hasReceived;
     private boolean unresponsive;
     private boolean halfClosed;
@@ -91,6 +95,22 @@
         return lastReceivedAt;
     }
 
+    /**
+     * Records that a state report has arrived on another connection. An exchange sends each one on all open connections.
+     *
+     * @return whether this connection has missed reports for so long that the network must have lost it
+     */
+    boolean hasMissedReports() {
+        long now = loop.now();
+        if (now < lastReceivedAt + MAX_REPORT_SKEW_MICROS) {
+            return false;
+        }
+        if (missedReportAt <= lastReceivedAt) {
+            missedReportAt = now;
+        }
+        return now >= missedReportAt + MAX_REPORT_SKEW_MICROS;
+    }
+
     // Set-ups.
 
     void addAttempt(Attempt attempt) {
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -579,6 +579,9 @@
         switch (message.method()) {
             case "NOTIFY" -> {
                 stateReported = true;
+                if (!first) {
+                    replaceConnectionsWithoutReports(connection);
+                }
                 events.accept(new Event.Reported(exchangeNumber, report,
                         first ? connection.connectedAt() : Event.Reported.UNSOLICITED));
             }
@@ -597,6 +600,17 @@
         }
     }
 
+    /** Ends the use of the connections that have missed the state reports which arrived on another one. */
+    private void replaceConnectionsWithoutReports(ExchangeConnection reporting) {
+        for (ExchangeConnection other : connections.values()) {
+            if (other != reporting && other.isUsable() && other.hasNoAttempts() && other.hasMissedReports()) {
+                LOG.info("exchange {} {} sends no state reports on the connection with local-port={}", exchangeNumber,
+                        endpoint, other.localPort());
+                halfClose(other, CloseReason.SILENT);
+            }
+        }
+    }
+
     private void handleResponse(ExchangeConnection connection, SipMessage message) {
         if (!message.cseqMethod().equals("INVITE") || message.status() < 200) {
             events.accept(new Event.ExchangeAlive(exchangeNumber));
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -403,6 +403,29 @@
         replacement.close();
     }
 
+    private void reportOn(Wire<SipMessage> connection) throws Exception {
+        clock.addAndGet(1_100_000);
+        awaitEstablished(connection);
+    }
+
+    @Test
+    void closesConnectionThatMissesStateReportsOfAnother() throws Exception {
+        Wire<SipMessage> lost = accept();
+        awaitEstablished(lost);
+        assertTrue(runInLoop(() -> links.checkLiveness(1)));
+        Wire<SipMessage> other = accept();
+        awaitEstablished(other);
+        reportOn(other);
+        // A report that arrives late is no missed one.
+        awaitEstablished(lost);
+        reportOn(other);
+        assertEquals(2, runInLoop(links::openCount));
+        reportOn(other);
+        assertTrue(lost.awaitClose());
+        lost.close();
+        other.close();
+    }
+
     @Test
     void readsReleaseThatCrossesReplacementByCheck() throws Exception {
         Wire<SipMessage> first = accept();
