Log the network's reason with a reset, and keep the own reason of a close that is reset

Change: the line has the system's message, as in 'ended RESET (Connection reset)'; a connection that this side had closed for sending keeps the reason of that close. LinksTest, MessageHandlerTest and the testbed's test of 'ended RESET' pass.

--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -236,6 +236,8 @@
         if (!(cause instanceof IOException)) {
             LOG.error("{} {} failed", kind, ctx.channel().remoteAddress(), cause);
         }
-        close(ctx.channel(), CloseReason.RESET);
+        closeDetail = " (" + cause.getMessage() + ")";
+        // A peer may answer a close for sending with a reset.
+        close(ctx.channel(), halfCloseTimeout == null ? CloseReason.RESET : closeReason);
     }
 }
