Take the recovery of lost releases out of Link

Change: LostReleaseRecovery keeps the calls without a connection and requests a new one; Link opens it. The method that makes room for a connection says so by its name. Behaviour is unchanged but for one line of log, which is no longer written while a check is under way.

--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -11,12 +11,10 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,10 +50,6 @@
     /** Exchanges may accept a connection up to one second late. The next check may start in the meantime. */
     private static final long MIN_CHECK_CONNECT_TIMEOUT_MICROS = 1_100_000;
     private static final int MAX_PENDING_CHECKS = 3;
-    /** Time within which an exchange that reads a close closes its side too. */
-    private static final long CLOSE_CONFIRMATION_MICROS = 1_000_000;
-    /** Two of these fit into the 8 s within which callers must be notified, after the confirmation. */
-    private static final long REFRESH_INTERVAL_MICROS = 2_500_000;
     private static final int MAX_WAITING_ATTEMPTS = 256;
     private static final int MAX_UNSENT_RELEASES = 4_096;
 
@@ -72,14 +66,7 @@
     private final Map<Channel, ExchangeConnection> connections = new LinkedHashMap<>();
     private final ArrayDeque<Attempt> waitingAttempts = new ArrayDeque<>();
     private final ArrayDeque<SipMessage> unsentReleases = new ArrayDeque<>();
-    /**
-     * Established calls whose connection is closed: the exchange sends their releases on any connection that is open on
-     * its side, which may be one that the network has lost.
-     */
-    private final Set<String> callsWithoutConnection = new HashSet<>();
-    /** Whether the exchange has not closed a connection in return, so that it may still use that connection. */
-    private boolean lostConnection;
-    private boolean refreshScheduled;
+    private final LostReleaseRecovery recovery;
     private boolean connecting;
     /** Connects in progress that {@link #checkLiveness} started. */
     private int pendingChecks;
@@ -110,6 +97,8 @@
         this.backoff = backoff;
         this.events = events;
         this.metrics = metrics;
+        this.recovery = new LostReleaseRecovery(loop,
+                () -> connections.values().stream().anyMatch(ExchangeConnection::isHalfClosed), this::reconnect);
     }
 
     /** Applies a new directory entry of the exchange and connects if there is no responsive connection. */
@@ -305,8 +294,12 @@
         return newest;
     }
 
-    /** Makes room for another connection if there are too many: closes the oldest one that is only read. */
-    private boolean hasRoomForConnection() {
+    /**
+     * Closes the oldest connection that is only read if there are too many for another one.
+     *
+     * @return whether another one may be opened
+     */
+    private boolean makeRoomForConnection() {
         if (connections.size() < MAX_CONNECTIONS) {
             return true;
         }
@@ -317,7 +310,7 @@
     }
 
     private void connect() {
-        if (connecting || closed || !hasRoomForConnection()) {
+        if (connecting || closed || !makeRoomForConnection()) {
             return;
         }
         if (!links.reserveConnection(!waitingAttempts.isEmpty() || !unsentReleases.isEmpty())) {
@@ -356,7 +349,7 @@
     }
 
     private boolean openAdditionalConnection() {
-        if (!hasRoomForConnection() || !links.reserveConnection(true)) {
+        if (!makeRoomForConnection() || !links.reserveConnection(true)) {
             return false;
         }
         pendingChecks++;
@@ -436,40 +429,20 @@
     private void halfClose(ExchangeConnection connection, CloseReason reason) {
         abortAttempts(connection);
         connection.halfClose(reason);
-        callsWithoutConnection.addAll(connection.establishedCalls());
-        scheduleRefresh(CLOSE_CONFIRMATION_MICROS);
+        recovery.connectionClosed(connection.establishedCalls());
     }
 
-    /**
-     * Opens a new connection after a while if the exchange has not closed another one in return. Where the network has
-     * lost that connection, the exchange does not learn of its close, and may send releases on it; but it repeats them
-     * on the next connection opened.
-     */
-    private void scheduleRefresh(long delayMicros) {
-        if (refreshScheduled || callsWithoutConnection.isEmpty()) {
+    /** Opens a new connection beside the others, on which the exchange repeats the releases that may be lost. */
+    private void reconnect(int calls) {
+        if (closed || pendingChecks > 0) {
             return;
         }
-        refreshScheduled = true;
-        loop.at(loop.now() + delayMicros, () -> {
-            refreshScheduled = false;
-            boolean unconfirmed =
-                    lostConnection || connections.values().stream().anyMatch(ExchangeConnection::isHalfClosed);
-            if (!closed && unconfirmed && !callsWithoutConnection.isEmpty()) {
-                refresh();
-                scheduleRefresh(REFRESH_INTERVAL_MICROS);
-            }
-        });
-    }
-
-    private void refresh() {
         LOG.info("exchange {} {} has not closed a connection in return, {} calls have none: connecting again",
-                exchangeNumber, endpoint, callsWithoutConnection.size());
-        if (connections.size() >= MAX_CONNECTIONS && !hasRoomForConnection()) {
+                exchangeNumber, endpoint, calls);
+        if (!makeRoomForConnection()) {
             halfCloseOldestIdle();
         }
-        if (pendingChecks == 0) {
-            openAdditionalConnection();
-        }
+        openAdditionalConnection();
     }
 
     private void halfCloseOldestIdle() {
@@ -479,7 +452,7 @@
 
     /** Forgets an established call, which has ended. */
     void callEnded(String call) {
-        callsWithoutConnection.remove(call);
+        recovery.callEnded(call);
         connections.values().forEach(connection -> connection.callEnded(call));
     }
 
@@ -536,9 +509,10 @@
         }
         links.releaseConnection();
         abortAttempts(connection);
-        lostConnection |= reason == CloseReason.UNCONFIRMED;
-        callsWithoutConnection.addAll(connection.establishedCalls());
-        scheduleRefresh(CLOSE_CONFIRMATION_MICROS);
+        if (reason == CloseReason.UNCONFIRMED) {
+            recovery.connectionLost();
+        }
+        recovery.connectionClosed(connection.establishedCalls());
         removeIfDone();
         boolean replaced = connection.isHalfClosed() || reason == CloseReason.MADE_ROOM
                 || connections.values().stream().anyMatch(other -> !other.isHalfClosed());
