--- a/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
@@ -164,6 +164,8 @@
 
     /** Simulates a crash of the process; the proxy resets its connections. */
     void crash() {
+        // The resets end the set-ups for their softswitches too.
+        pendingSetUps.keySet().forEach(judge::attemptReset);
         vanish();
         listeners.forEach(Channel::close);
     }
