Stop the recovery of lost releases with its link

Cause: read in the change, not seen in a run: a link that leaves the directory without an open connection is removed before the planner tells it of the ends of its calls; after a connection had been lost, its recovery then asked for connections every 2.5 s for good, which kept the removed link. Change: a link that is retired or closed stops its recovery, which forgets its calls. Result: LostReleaseRecoveryTest holds that nothing is requested after a stop or for calls that have ended; LinksTest and ReturnedExchangeTest pass.

--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -131,6 +131,7 @@
     void close(CloseReason reason) {
         closed = true;
         stopped = true;
+        recovery.stop();
         failWaiting();
         List.copyOf(connections.values()).forEach(connection -> connection.close(reason));
     }
@@ -145,6 +146,7 @@
     void retire(long maxMicros) {
         closed = true;
         retired = true;
+        recovery.stop();
         LOG.info("exchange {} {} {} has left the directory, {} connections are read for up to {} ms", exchangeNumber, uid,
                 endpoint, connections.size(), maxMicros / 1_000);
         failWaiting();
@@ -434,7 +436,7 @@
 
     /** Opens a new connection beside the others, on which the exchange repeats the releases that may be lost. */
     private void reconnect(int calls) {
-        if (closed || pendingChecks > 0) {
+        if (pendingChecks > 0) {
             return;
         }
         LOG.info("exchange {} {} has not closed a connection in return, {} calls have none: connecting again",
--- a/src/main/java/wingspread/link/LostReleaseRecovery.java
+++ b/src/main/java/wingspread/link/LostReleaseRecovery.java
@@ -27,6 +27,7 @@
     /** Whether the exchange did not close a connection in return for as long as that was awaited. */
     private boolean lostConnection;
     private boolean scheduled;
+    private boolean stopped;
 
     /**
      * Creates a recovery for one exchange.
@@ -42,8 +43,10 @@
 
     /** Records that a connection is closed, by this side or by both, on which these established calls were set up. */
     void connectionClosed(Collection<String> establishedCalls) {
-        callsWithoutConnection.addAll(establishedCalls);
-        schedule(CLOSE_CONFIRMATION_MICROS);
+        if (!stopped) {
+            callsWithoutConnection.addAll(establishedCalls);
+            schedule(CLOSE_CONFIRMATION_MICROS);
+        }
     }
 
     /** Records that a connection has ended on this side alone, as far as is known. */
@@ -56,6 +59,12 @@
         callsWithoutConnection.remove(call);
     }
 
+    /** Requests no further connections: the exchange has left the directory, or this process is shutting down. */
+    void stop() {
+        stopped = true;
+        callsWithoutConnection.clear();
+    }
+
     private void schedule(long delayMicros) {
         if (!scheduled && !callsWithoutConnection.isEmpty()) {
             scheduled = true;
