--- a/src/main/java/wingspread/core/CallLog.java
+++ b/src/main/java/wingspread/core/CallLog.java
@@ -122,7 +122,9 @@
         LOG.info("{} unknown call, released by exchange={} cause={}", call, exchange, cause);
     }
 
-    /** Logs a release that ends nothing. Repeated releases are ordinary, as exchanges send them on new connections too. */
+    /**
+     * Logs a release that ends nothing. Repeated releases are ordinary, as exchanges send them on new connections too.
+     */
     void releaseIgnored(String call, long exchange, int cause, IgnoredReleaseReason reason) {
         if (reason != IgnoredReleaseReason.ALREADY_ENDED) {
             LOG.info("{} release ignored reason={} exchange={} cause={}", call, reason, exchange, cause);
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -411,8 +411,8 @@
 
     /**
      * Passes on the release of a call that is not kept. The call may have been set up by a process that ended before
-     * this one was started, and its caller must be notified. An exchange repeats a release on its next connection, which
-     * must not reach the caller twice.
+     * this one was started, and its caller must be notified. An exchange repeats a release on its next connection,
+     * which must not reach the caller twice.
      */
     private void unknownCallReleased(Event.Released event) {
         if (endedCallIds.add(event.call())) {
--- a/src/main/java/wingspread/front/jsonl/ReleaseDelivery.java
+++ b/src/main/java/wingspread/front/jsonl/ReleaseDelivery.java
@@ -13,8 +13,8 @@
 import wingspread.net.Loop;
 
 /**
- * Delivers the releases of established calls. A release is sent on the connection of its call; if that has closed, or an
- * earlier process set the call up, it may be sent on any connection from callers. This class chooses the connection,
+ * Delivers the releases of established calls. A release is sent on the connection of its call; if that has closed, or
+ * an earlier process set the call up, it may be sent on any connection from callers. This class chooses the connection,
  * queues releases while there is none, and sends a release again if its connection closes immediately afterwards. The
  * queues are bounded. Confined to the event loop.
  */
--- a/src/main/java/wingspread/link/ExchangeConnection.java
+++ b/src/main/java/wingspread/link/ExchangeConnection.java
@@ -96,7 +96,8 @@
     }
 
     /**
-     * Records that a state report has arrived on another connection. An exchange sends each one on all open connections.
+     * Records that a state report has arrived on another connection. An exchange sends each one on all open
+     * connections.
      *
      * @return whether this connection has missed reports for so long that the network must have lost it
      */
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -123,8 +123,9 @@
      */
     boolean startupComplete() {
         return retired || stateReported || connectFailed || connections.values().stream()
-                .anyMatch(connection -> loop.now() - connection.connectedAt() >= Math.max(MIN_INITIAL_REPORT_WAIT_MICROS,
-                        INITIAL_REPORT_CONNECT_TIMES * connectDurationMicros));
+                .anyMatch(connection -> loop.now() - connection.connectedAt()
+                        >= Math.max(MIN_INITIAL_REPORT_WAIT_MICROS,
+                                INITIAL_REPORT_CONNECT_TIMES * connectDurationMicros));
     }
 
     /** Closes all connections, opens no further ones, and fails the attempts that wait for a connection. */
@@ -147,8 +148,8 @@
         closed = true;
         retired = true;
         recovery.stop();
-        LOG.info("exchange {} {} {} has left the directory, {} connections are read for up to {} ms", exchangeNumber, uid,
-                endpoint, connections.size(), maxMicros / 1_000);
+        LOG.info("exchange {} {} {} has left the directory, {} connections are read for up to {} ms", exchangeNumber,
+                uid, endpoint, connections.size(), maxMicros / 1_000);
         failWaiting();
         for (ExchangeConnection connection : connections.values()) {
             for (Attempt attempt : connection.removeAttempts()) {
--- a/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
@@ -443,7 +443,8 @@
         EstablishedCall call = establishedCalls.remove(id);
         scheduleStateReport(call.softswitch());
         releasesToRepeat.put(id, new Release(call.softswitch(), cause));
-        Channel target = channels.containsKey(call.channel()) && call.channel().isActive() ? call.channel() : channels.entrySet().stream()
+        boolean ownIsOpen = channels.containsKey(call.channel()) && call.channel().isActive();
+        Channel target = ownIsOpen ? call.channel() : channels.entrySet().stream()
                 .filter(c -> c.getValue() == call.softswitch() && c.getKey().isActive()).map(Map.Entry::getKey)
                 .findFirst().orElse(null);
         if (target == null || !proxies.get(call.softswitch()).reachable() || isLost(target, call.softswitch())) {
--- a/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
+++ b/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
@@ -30,7 +30,7 @@
      */
     private static final int DIRECTORY_PAUSE_MS = 1_500;
     private static final int MAX_DIRECTORY_FAULT_MS = 4_500;
-    /** Maximum number of faults of the kinds that are drawn separately; a schedule that allows them has at least one. */
+    /** Maximum number of faults of the kinds that are drawn separately; at least one is drawn if any is allowed. */
     private static final int MAX_SEPARATE_FAULTS = 4;
     private static final int MAX_DISTURBANCE_DELAY_MS = 2_000;
     private static final long SEPARATE_SEED_OFFSET = 0x5eba_7a7eL;
