Check for free ports without listening on them

Ports.isFree listened on the port for a moment. Another thread (the other trial, or the pool that starts softswitches and sends signals) forks at that time, and the child holds a copy of every open socket until jspawnhelper has closed them, so the port stays in LISTEN state after the probe is closed.

Change: the check binds a socket with SO_REUSEADDR and does not listen; a copy of it hinders no listener. Three test fixtures that looked for a port by listening on port 0 use Ports too. The fault's message names stand-in and port.

--- a/src/main/java/wingspread/testbed/Ports.java
+++ b/src/main/java/wingspread/testbed/Ports.java
@@ -2,7 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -35,9 +36,16 @@
                 + " on the loopback interface");
     }
 
+    /**
+     * Whether the port can be bound. The check does not listen: a process that another thread starts holds a copy
+     * of each open socket for some milliseconds, and a copy of a listening socket would keep the port's owner from
+     * binding.
+     */
     private static boolean isFree(int port) {
-        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-            return socket.isBound();
+        try (Socket socket = new Socket()) {
+            socket.setReuseAddress(true);
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            return true;
         } catch (IOException e) {
             return false;
         }
--- a/src/main/java/wingspread/testbed/soak/DirectoryStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/DirectoryStandIn.java
@@ -133,11 +133,11 @@
                                 new LengthFieldPrepender(2), new TcpHandler());
                     }
                 })
-                .bind(at).addListener(judge::bindCompleted).channel();
+                .bind(at).addListener(judge.bindCheck("a directory over TCP", port)).channel();
         udpChannel = new Bootstrap().group(loop.group()).channel(NioDatagramChannel.class)
                 .handler(new DatagramHandler("stand-in directory", (ctx, query, sender) -> answer(query,
                         MAX_UDP_BYTES, bytes -> ctx.writeAndFlush(new DatagramPacket(bytes, sender)))))
-                .bind(at).addListener(judge::bindCompleted).channel();
+                .bind(at).addListener(judge.bindCheck("a directory over UDP", port)).channel();
     }
 
     /** Answers the queries of one TCP connection. */
--- a/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
@@ -135,8 +135,8 @@
                         connectionOpened(channel, softswitch);
                     }
                 })
-                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).addListener(judge::bindCompleted)
-                .channel();
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .addListener(judge.bindCheck(uid, port)).channel();
     }
 
     String uid() {
--- a/src/main/java/wingspread/testbed/soak/FaultProxy.java
+++ b/src/main/java/wingspread/testbed/soak/FaultProxy.java
@@ -119,8 +119,8 @@
                         accept(channel);
                     }
                 })
-                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)).addListener(judge::bindCompleted)
-                .channel();
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .addListener(judge.bindCheck("a fault proxy", port)).channel();
     }
 
     // Faults.
--- a/src/main/java/wingspread/testbed/soak/Judge.java
+++ b/src/main/java/wingspread/testbed/soak/Judge.java
@@ -1,6 +1,6 @@
 package wingspread.testbed.soak;
 
-import io.netty.util.concurrent.Future;
+import io.netty.channel.ChannelFutureListener;
 import java.nio.channels.ClosedChannelException;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -128,12 +128,14 @@
         return testbedFaults;
     }
 
-    /** Records a fault of the test bed where a stand-in failed to bind its port. */
-    void bindCompleted(Future<?> bound) {
-        // A listener that was closed before it was bound was no longer needed.
-        if (!bound.isSuccess() && !(bound.cause() instanceof ClosedChannelException)) {
-            testbedFaults.add("a stand-in cannot bind its port: " + bound.cause());
-        }
+    /** Returns a listener that records a fault of the test bed if a stand-in fails to bind its port. */
+    ChannelFutureListener bindCheck(String standIn, int port) {
+        return bound -> {
+            // A listener that was closed before it was bound was no longer needed.
+            if (!bound.isSuccess() && !(bound.cause() instanceof ClosedChannelException)) {
+                testbedFaults.add(standIn + " cannot bind port " + port + ": " + bound.cause());
+            }
+        };
     }
 
     /** Records a fault of the test bed itself. */
--- a/src/test/java/wingspread/ServeFixture.java
+++ b/src/test/java/wingspread/ServeFixture.java
@@ -22,6 +22,7 @@
 import wingspread.net.InvalidInputException;
 import wingspread.sip.SipDecoder;
 import wingspread.sip.SipMessage;
+import wingspread.testbed.Ports;
 import wingspread.testing.Wire;
 
 /** Starts the program in a separate process, between a stand-in caller and a stand-in exchange on the loopback. */
@@ -57,9 +58,7 @@
     void start() throws Exception {
         exchangeListener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
         acceptExchangeConnections();
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
+        port = Ports.findFreePort();
         config = folder.resolve("config.json");
         configure("127.0.0.1:1");
         process = serve(config.toString());
--- a/src/test/java/wingspread/SipServiceTest.java
+++ b/src/test/java/wingspread/SipServiceTest.java
@@ -8,7 +8,6 @@
 import java.math.BigInteger;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -40,6 +39,7 @@
 import wingspread.net.Loop;
 import wingspread.net.UnixClock;
 import wingspread.storm.ReconnectParameters;
+import wingspread.testbed.Ports;
 
 /** TLS of the SIP front end, and the replacement of its certificate while a connection is open. */
 class SipServiceTest {
@@ -101,10 +101,7 @@
 
     @Test
     void newCertificateAppliesToNewConnectionsAndKeepsOpenOnes() throws Exception {
-        InetSocketAddress address;
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = (InetSocketAddress) probe.getLocalSocketAddress();
-        }
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), Ports.findFreePort());
         Loop loop = new Loop(new UnixClock());
         Metrics metrics = new Metrics();
         SipService service = new SipService(loop, new SipConfig(null, null, address, "", Map.of("", 1),
--- a/src/test/java/wingspread/acme/CertificateManagerTest.java
+++ b/src/test/java/wingspread/acme/CertificateManagerTest.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
@@ -21,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import wingspread.config.SipConfig;
+import wingspread.testbed.Ports;
 
 /** Ordering and renewing certificates from a stand-in authority, with a clock that the test sets. */
 class CertificateManagerTest {
@@ -36,9 +36,7 @@
 
     @BeforeEach
     void start() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            http = (InetSocketAddress) free.getLocalSocketAddress();
-        }
+        http = new InetSocketAddress(InetAddress.getLoopbackAddress(), Ports.findFreePort());
         authority = new StandInAuthority(() -> now, LIFETIME, http.getPort());
     }
 
