Count releases as lost that are in transit as the soak's network loses a connection

Cause: the soak's exchange reports a release to the judge when it writes it. If the machine vanishes, the network is partitioned or loses connections while the release is between exchange and proxy, or waits there in fragments, the proxy drops it, and the judge still demands that the caller hears within 1 s of a release that no softswitch can have read.

Change: SentReleases keeps for each release the position of its last byte on its connection, and the proxy counts the bytes that it has passed on. When the network loses connections (vanish, partition, lose-connections), the releases that end beyond that are reported as lost, so that the 8 s for unsent releases apply; one that was passed on counts as before. The window for releases that cross a close moves into the same class unchanged.

--- a/src/main/java/wingspread/testbed/soak/ExchangeHost.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeHost.java
@@ -103,6 +103,7 @@
         faultInProgress = true;
         log.add(uid(), "FAULT the machine vanishes");
         proxies.forEach(FaultProxy::blackhole);
+        process.connectionsLost();
         process.vanish();
         loop.at(loop.now() + detectionMs * 1_000L, this::withdraw);
         loop.at(loop.now() + Math.max(detectionMs, restartMs) * 1_000L, () -> {
--- a/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/ExchangeStandIn.java
@@ -1,6 +1,7 @@
 package wingspread.testbed.soak;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -11,7 +12,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -43,9 +43,6 @@
     private static final long ANSWER_DELAY_RANGE_MICROS = 50_000;
     private static final long LATE_ANSWER_DELAY_MICROS = 700_000;
     private static final long REPORT_DELAY_MICROS = 100_000;
-    /** A release written less than this time before its connection ended may not have been received. */
-    private static final long CROSSING_WINDOW_MICROS = 50_000;
-    private static final int MAX_SENT_RELEASES = 1_024;
     private static final double COLD_CAPACITY_SHARE = 0.3;
     private static final long WARM_UP_MICROS = 14_000_000;
 
@@ -61,9 +58,6 @@
     /** The release of a call, addressed to its softswitch. */
     private record Release(int softswitch, int cause) { }
 
-    /** A release that was written to a connection; {@code sentAt} in microseconds. */
-    private record SentRelease(String call, Channel channel, long sentAt) { }
-
     /** A message that arrived while the process was hanging. */
     private record DeferredMessage(Channel channel, SipMessage message) { }
 
@@ -90,8 +84,7 @@
     private final Map<String, Release> releasesToRepeat = new LinkedHashMap<>();
     private final List<DeferredMessage> deferredMessages = new ArrayList<>();
     private final Set<String> arrivedWhileHanging = new HashSet<>();
-    /** The most recent releases, oldest first. */
-    private final ArrayDeque<SentRelease> sentReleases = new ArrayDeque<>();
+    private final SentReleases sentReleases = new SentReleases();
     /** Softswitches for which a state report is scheduled. */
     private final Set<Integer> pendingReports = new HashSet<>();
     private State state = State.SERVING;
@@ -300,8 +293,13 @@
     }
 
     private void send(Channel channel, SipMessage message) {
+        send(channel, message.encode());
+    }
+
+    private void send(Channel channel, ByteBuf bytes) {
         if (channel.isActive()) {
-            MessageHandler.write(channel, message.encode());
+            sentReleases.bytesWritten(channel, bytes.readableBytes());
+            MessageHandler.write(channel, bytes);
             loop.flushAfterTurn(channel);
         }
     }
@@ -309,9 +307,7 @@
     @Override
     public void ended(Channel channel, CloseReason reason) {
         channels.remove(channel);
-        List<SentRelease> unconfirmed = sentReleases.stream()
-                .filter(s -> s.channel() == channel && s.sentAt() + CROSSING_WINDOW_MICROS >= loop.now()).toList();
-        unconfirmed.forEach(s -> judge.releaseLost(s.call()));
+        sentReleases.connectionEnded(channel, loop.now()).forEach(judge::releaseLost);
         deferredMessages.stream().filter(u -> u.channel() == channel && "INVITE".equals(u.message().method()))
                 .forEach(u -> judge.attemptReset(u.message().callId()));
         for (Map.Entry<String, PendingSetUp> open : List.copyOf(pendingSetUps.entrySet())) {
@@ -414,7 +410,7 @@
         establishedCalls.put(call, new EstablishedCall(softswitch, setUp.channel()));
         scheduleStateReport(softswitch);
         switch (answerFault) {
-            case 0 -> setUp.channel().writeAndFlush(Unpooled.wrappedBuffer(
+            case 0 -> send(setUp.channel(), Unpooled.wrappedBuffer(
                     "SIP/2.0 2x0 ??\r\n\u0001\r\n".getBytes(StandardCharsets.ISO_8859_1)));
             case 1 -> {
                 send(setUp.channel(), answer);
@@ -453,11 +449,8 @@
         } else {
             log.add(uid, id, "release cause=" + cause);
             reportRelease(call.softswitch(), id);
-            sentReleases.add(new SentRelease(id, target, loop.now()));
-            if (sentReleases.size() > MAX_SENT_RELEASES) {
-                sentReleases.remove();
-            }
             send(target, bye(id, cause));
+            sentReleases.releaseWritten(id, target, loop.now());
         }
     }
 
@@ -467,6 +460,22 @@
                 && proxies.get(softswitch).isLost(address.getPort());
     }
 
+    /** Reports to the judge the releases in transit on connections that the network has just lost. */
+    void connectionsLost() {
+        for (String call : sentReleases.undelivered(this::deliveredBytes)) {
+            log.add(uid, call, "release lost in transit");
+            judge.releaseLost(call);
+        }
+    }
+
+    /** Returns how many bytes written to a connection are delivered; unlimited if the network has not lost it. */
+    private long deliveredBytes(Channel channel) {
+        Integer softswitch = channels.get(channel);
+        return softswitch != null && isLost(channel, softswitch)
+                ? proxies.get(softswitch).deliveredBytes(((InetSocketAddress) channel.remoteAddress()).getPort())
+                : Long.MAX_VALUE;
+    }
+
     /**
      * Reports a release to the judge. If the network resets connections in the middle of messages, the release may have
      * been sent only in part, so only the end of the call is reported.
--- a/src/main/java/wingspread/testbed/soak/FaultInjector.java
+++ b/src/main/java/wingspread/testbed/soak/FaultInjector.java
@@ -132,6 +132,7 @@
                 if (!exchange.faultInProgress()) {
                     forEachProxy(exchange, FaultProxy::blackhole);
                     ExchangeStandIn process = exchange.process();
+                    process.connectionsLost();
                     scheduleEnd(fault, () -> {
                         if (!exchange.faultInProgress() && exchange.process() == process) {
                             forEachProxy(exchange, FaultProxy::heal);
@@ -146,7 +147,10 @@
     private void injectIntoConnections(PlannedFault fault, ExchangeHost exchange) {
         switch (fault.kind()) {
             case RESET -> forEachProxy(exchange, FaultProxy::reset);
-            case LOSE_CONNECTIONS -> forEachProxy(exchange, proxy -> proxy.loseConnections(random::nextBoolean));
+            case LOSE_CONNECTIONS -> {
+                forEachProxy(exchange, proxy -> proxy.loseConnections(random::nextBoolean));
+                exchange.process().connectionsLost();
+            }
             case CLOSE_IDLE -> repeat(fault, IDLE_INTERVAL_MICROS, () -> exchange.process().closeIdle());
             case FORGET_IDLE -> repeat(fault, IDLE_INTERVAL_MICROS, () -> exchange.process().forgetIdle());
             case LATE_CONNECT -> {
--- a/src/main/java/wingspread/testbed/soak/FaultProxy.java
+++ b/src/main/java/wingspread/testbed/soak/FaultProxy.java
@@ -29,6 +29,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import wingspread.net.Loop;
 import wingspread.testbed.Ports;
 
@@ -67,7 +68,10 @@
         Channel exchangeChannel;
         /** Whether data is dropped in both directions without either side being notified. */
         boolean dropsTraffic;
+        /** Bytes from the exchange forwarded since a reset after a number of bytes was last requested. */
         int forwardedBytes;
+        /** Bytes from the exchange that were sent on to the softswitch since the connection was established. */
+        long deliveredBytes;
         final ArrayDeque<ByteBuf> fragments = new ArrayDeque<>();
         boolean sendingFragment;
 
@@ -75,6 +79,11 @@
             this.softswitchChannel = softswitchChannel;
         }
 
+        void deliver(ByteBuf bytes) {
+            deliveredBytes += bytes.readableBytes();
+            softswitchChannel.writeAndFlush(bytes);
+        }
+
         void reset() {
             resetChannel(softswitchChannel);
             if (exchangeChannel != null) {
@@ -208,8 +217,17 @@
 
     /** Whether the connection that the exchange has accepted from this port transfers no data. */
     boolean isLost(int proxyPort) {
-        return connections.stream().anyMatch(connection -> connection.dropsTraffic
-                && connection.exchangeChannel != null
+        return acceptedFrom(proxyPort).anyMatch(connection -> connection.dropsTraffic);
+    }
+
+    /** Returns how many bytes that the exchange has written to a connection were sent on to the softswitch. */
+    long deliveredBytes(int proxyPort) {
+        return acceptedFrom(proxyPort).mapToLong(connection -> connection.deliveredBytes).sum();
+    }
+
+    /** Returns the connection that the exchange has accepted from this port; empty if there is none. */
+    private Stream<ProxiedConnection> acceptedFrom(int proxyPort) {
+        return connections.stream().filter(connection -> connection.exchangeChannel != null
                 && ((InetSocketAddress) connection.exchangeChannel.localAddress()).getPort() == proxyPort);
     }
 
@@ -365,7 +383,7 @@
                 return;
             }
             if (fragmentLength == 0 && !connection.sendingFragment) {
-                connection.softswitchChannel.writeAndFlush(bytes);
+                connection.deliver(bytes);
                 return;
             }
             while (bytes.isReadable()) {
@@ -397,7 +415,7 @@
         if (connection.dropsTraffic) {
             connection.fragments.remove().release();
         } else {
-            connection.softswitchChannel.writeAndFlush(connection.fragments.remove());
+            connection.deliver(connection.fragments.remove());
         }
         loop.at(loop.now() + FRAGMENT_PAUSE_MICROS, () -> {
             connection.sendingFragment = false;
