Match a rejection to the attempt that it names, and cancel the attempt if it names none

Cause: a response was paired with an attempt by Call-ID alone.

Change: Link.handleRejection compares the attempt that the response names by Via branch or CSeq number with the pending one and ignores those of ended attempts. If the response names none and an earlier attempt at the exchange may still be answered, the pending attempt is cancelled, so that the pause after a cancel applies. Attempt knows the one before it.

--- a/src/main/java/wingspread/core/Attempt.java
+++ b/src/main/java/wingspread/core/Attempt.java
@@ -14,15 +14,20 @@
     private final long exchange;
     private final long sentAt;
     private final long deadline;
+    /** The attempt of the same call before this one; null if this is the first. */
+    private final Attempt previous;
     private State state = State.PENDING;
     private long establishedAt;
+    /** Until when the exchange may send a final response to the ended attempt. */
+    private long responsesUntil;
     /** Withdraws the set-up at its deadline; null if it was never sent. */
     private Deadlines.Timer timeout;
 
-    Attempt(Request request, long callNumber, int index, long exchange, long sentAt, long deadline) {
+    Attempt(Request request, long callNumber, long exchange, long sentAt, long deadline, Attempt previous) {
         this.request = request;
         this.callNumber = callNumber;
-        this.index = index;
+        this.index = previous == null ? 0 : previous.index + 1;
+        this.previous = previous;
         this.exchange = exchange;
         this.sentAt = sentAt;
         this.deadline = deadline;
@@ -81,11 +86,27 @@
         return establishedAt;
     }
 
-    void end() {
+    /**
+     * Ends the attempt.
+     *
+     * @param lastResponseAt until when the exchange may still send a final response to it, or a copy of one
+     */
+    void end(long lastResponseAt) {
         state = State.ENDED;
+        responsesUntil = lastResponseAt;
         cancelTimeout();
     }
 
+    /** Whether a final response that arrives now may be one to an earlier attempt of the call at the same exchange. */
+    public boolean mayBeConfusedWithEarlier(long now) {
+        for (Attempt earlier = previous; earlier != null; earlier = earlier.previous) {
+            if (earlier.exchange == exchange && now < earlier.responsesUntil) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void cancelTimeout() {
         if (timeout != null) {
             timeout.cancel();
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -46,6 +46,10 @@
     public static final int CAUSE_TEMPORARY_FAILURE = 41;
     private static final Logger LOG = LoggerFactory.getLogger(Planner.class);
     private static final long NO_NUMBER = 0;
+    /** Time within which an exchange may send a second copy of a response. */
+    private static final long RESPONSE_COPY_MICROS = 50_000;
+    /** Time within which an exchange may respond to a set-up that has been withdrawn. */
+    private static final long LATE_RESPONSE_MICROS = 4_000_000;
     /** Time that an exchange has to send its pending releases after its first report on a connection. */
     private static final long RELEASE_GRACE_MICROS = 500_000;
     /** Maximum time from when an exchange composes its first report to when it sends it. */
@@ -192,7 +196,7 @@
                         EndReason.PLANNED_END);
             } else if (state.hasPendingAttempt()) {
                 exchanges.cancelAttempt(state.lastAttempt());
-                state.lastAttempt().end();
+                state.lastAttempt().end(now);
                 removeIfDone(state);
             }
         }
@@ -332,7 +336,7 @@
         if (state != null && state.isEstablished()) {
             metrics.count("taken.releases");
             exchanges.release(state.lastAttempt().exchange(), id, cause);
-            state.lastAttempt().end();
+            state.lastAttempt().end(now);
             exchangeMonitor.callEnded(state.lastAttempt().exchange());
             log.callEnded(state.lastAttempt(), EndReason.CALLER_RELEASED, cause);
             reportOutcome(now, state, state.lastAttempt(), Status.CANCELLED, Cause.NONE, Report.EMPTY);
@@ -501,7 +505,7 @@
     private void endEstablishedCall(long now, CallState state, Status status, Report report, int cause,
             EndReason reason) {
         Attempt attempt = state.lastAttempt();
-        attempt.end();
+        attempt.end(now);
         exchangeMonitor.callEnded(attempt.exchange());
         exchanges.callEnded(attempt.exchange(), state.request.id());
         metrics.count(cause == CAUSE_NORMAL_CLEARING ? "answered.over" : "answered.cut");
@@ -513,7 +517,8 @@
 
     /** Ends an attempt that did not establish its call. */
     private void endAttempt(long now, Attempt attempt, Status status, Cause cause, Report report) {
-        attempt.end();
+        boolean withdrawn = status == Status.TIMEOUT || status == Status.CANCELLED;
+        attempt.end(now + (withdrawn ? LATE_RESPONSE_MICROS : RESPONSE_COPY_MICROS));
         metrics.count("ended." + status + (cause == Cause.NONE ? "" : "." + cause));
         log.attemptEnded(attempt, now, status, cause);
         CallState state = byNumber.get(attempt.callNumber());
@@ -528,8 +533,7 @@
 
     /**
      * Returns the attempt to which a message from an exchange belongs: the last one of the call if it was sent to that
-     * exchange, else null. The CSeq number cannot tell attempts apart, since exchanges do not return it: an answer to
-     * a second attempt would be matched to the first, and its call released.
+     * exchange, else null. The link drops rejections of earlier attempts; acceptances it cannot always tell apart.
      */
     private Attempt findAttempt(long exchange, String id) {
         CallState state = byId.get(id);
@@ -573,8 +577,8 @@
 
     private void startAttempt(CallState state, long exchange, long deadline) {
         long now = clock.getAsLong();
-        Attempt attempt = new Attempt(state.request, state.callNumber, state.attempts.size(), exchange, now,
-                Math.min(deadline, state.request.deadline()));
+        Attempt attempt = new Attempt(state.request, state.callNumber, exchange, now,
+                Math.min(deadline, state.request.deadline()), state.lastAttempt());
         // Enforces the platform's rules whatever the call control requests: no set-up while another one is pending,
         // none for an answered call, none beyond the maximum number of attempts, none to an unlisted exchange.
         if (state.isAnswered() || state.hasPendingAttempt() || attempt.index() >= settings.maxAttempts()
--- a/src/main/java/wingspread/link/ExchangeConnection.java
+++ b/src/main/java/wingspread/link/ExchangeConnection.java
@@ -118,6 +118,11 @@
         attempts.put(attempt.request().id(), attempt);
     }
 
+    /** Returns the set-up of a call that awaits its final response on this connection; null if there is none. */
+    Attempt attempt(String call) {
+        return attempts.get(call);
+    }
+
     /** Removes and returns the set-up of a call; null if there is none. */
     Attempt removeAttempt(String call) {
         return attempts.remove(call);
--- a/src/main/java/wingspread/link/ExchangeMessages.java
+++ b/src/main/java/wingspread/link/ExchangeMessages.java
@@ -1,5 +1,6 @@
 package wingspread.link;
 
+import java.util.OptionalInt;
 import wingspread.control.CallControl.Cause;
 import wingspread.control.CallControl.Status;
 import wingspread.core.Attempt;
@@ -48,7 +49,26 @@
     }
 
     private static String branch(Attempt attempt) {
-        return "z9hG4bK" + attempt.request().id() + "-" + attempt.index();
+        return branchPrefix(attempt.request().id()) + attempt.index();
+    }
+
+    private static String branchPrefix(String call) {
+        return "z9hG4bK" + call + "-";
+    }
+
+    /**
+     * Returns the index of the attempt that a response names by its Via branch, or by a CSeq number above the first.
+     * Exchanges need not return either: the result is empty if the response could be one to any attempt of the call.
+     */
+    static OptionalInt attemptIndex(SipMessage response) {
+        String branch = SipMessage.parameter(response.header("Via"), "branch");
+        String prefix = branchPrefix(response.callId());
+        long index = branch != null && branch.startsWith(prefix)
+                ? SipMessage.number(branch.substring(prefix.length())) : -1;
+        if (index < 0 && response.cseq() > 1) {
+            index = response.cseq() - 1;
+        }
+        return index < 0 || index > Integer.MAX_VALUE ? OptionalInt.empty() : OptionalInt.of((int) index);
     }
 
     private static SipMessage request(String method, String called, String call, long cseq, String branch) {
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -593,17 +594,50 @@
             events.accept(new Event.ExchangeAlive(exchangeNumber));
             return;
         }
-        String call = message.callId();
-        Attempt attempt = connection.removeAttempt(call);
         metrics.count("taken." + message.status());
-        connection.write(messages.ack(message, attempt));
         if (message.status() < 300) {
-            connection.callEstablished(call);
-            events.accept(new Event.Answered(exchangeNumber, call, message.body()));
+            handleAcceptance(connection, message);
         } else {
-            events.accept(new Event.Rejected(exchangeNumber, call, ExchangeMessages.status(message.status()),
-                    ExchangeMessages.cause(message.header("X-Outcome")),
-                    LoadReportParser.parse(message.header("X-Gauges"))));
+            handleRejection(connection, message);
+        }
+    }
+
+    private void handleAcceptance(ExchangeConnection connection, SipMessage message) {
+        String call = message.callId();
+        connection.write(messages.ack(message, connection.removeAttempt(call)));
+        connection.callEstablished(call);
+        events.accept(new Event.Answered(exchangeNumber, call, message.body()));
+    }
+
+    /**
+     * Handles a rejection. One of an attempt that has ended, such as a second copy, must not end the next attempt of
+     * the call, which the exchange still works on. If the rejection does not tell, the next attempt is cancelled.
+     */
+    private void handleRejection(ExchangeConnection connection, SipMessage message) {
+        String call = message.callId();
+        Attempt attempt = connection.attempt(call);
+        OptionalInt rejectedIndex = ExchangeMessages.attemptIndex(message);
+        if (attempt == null || rejectedIndex.isPresent() && rejectedIndex.getAsInt() != attempt.index()) {
+            connection.write(messages.ack(message, null));
+            metrics.count("taken.stale-rejections");
+            CALLS.info("{} rejection ignored reason=ATTEMPT_ENDED exchange={} status={}", call, exchangeNumber,
+                    message.status());
+            events.accept(new Event.ExchangeAlive(exchangeNumber));
+            return;
+        }
+        connection.removeAttempt(call);
+        connection.write(messages.ack(message, attempt));
+        if (rejectedIndex.isEmpty() && attempt.mayBeConfusedWithEarlier(loop.now())) {
+            metrics.count("taken.unclear-rejections");
+            CALLS.info("{} attempt={} cancelled, a rejection by exchange={} may be that of an earlier attempt", call,
+                    attempt.index(), exchangeNumber);
+            metrics.count("sent.CANCEL");
+            connection.write(messages.cancel(attempt));
+            events.accept(new Event.AttemptAborted(attempt, Status.CANCELLED));
+            return;
         }
+        events.accept(new Event.Rejected(exchangeNumber, call, ExchangeMessages.status(message.status()),
+                ExchangeMessages.cause(message.header("X-Outcome")),
+                LoadReportParser.parse(message.header("X-Gauges"))));
     }
 }
--- a/src/test/java/wingspread/core/AttemptFixture.java
+++ b/src/test/java/wingspread/core/AttemptFixture.java
@@ -12,6 +12,16 @@
 
     /** Returns a pending set-up for a request. */
     public static Attempt attempt(Request request, long exchange, long now, long deadline) {
-        return new Attempt(request, 1, 0, exchange, now, deadline);
+        return new Attempt(request, 1, exchange, now, deadline, null);
+    }
+
+    /**
+     * Ends an attempt and returns the next one of its call at the same exchange.
+     *
+     * @param lastResponseAt until when the exchange may still respond to the ended one
+     */
+    public static Attempt next(Attempt ended, long lastResponseAt, long now) {
+        ended.end(lastResponseAt);
+        return new Attempt(ended.request(), 1, ended.exchange(), now, ended.deadline(), ended);
     }
 }
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -293,6 +293,65 @@
         }
     }
 
+    /** Has an exchange reject a call's first attempt with the given headers beside Call-ID, and sends the next one. */
+    private Attempt sendAgainAfterRejection(Wire<SipMessage> connection, SipMessage rejection) throws Exception {
+        Attempt first = invite("a");
+        assertEquals("a", connection.next().callId());
+        connection.send(rejection.encode());
+        assertTrue(nextEvent() instanceof Event.Rejected);
+        assertEquals("ACK", connection.next().method());
+        Attempt second = AttemptFixture.next(first, clock.get() + 50_000, clock.get());
+        loop.execute(() -> links.invite(second));
+        assertEquals("INVITE", connection.next().method());
+        clock.addAndGet(10_000);
+        connection.send(rejection.encode());
+        assertEquals("ACK", connection.next().method());
+        return second;
+    }
+
+    private static SipMessage rejection(String branch) {
+        return SipMessage.response(500, "x").with("Via", "SIP/2.0/TCP wingspread" + branch).with("Call-ID", "a")
+                .with("CSeq", "1 INVITE");
+    }
+
+    @Test
+    void ignoresSecondCopyOfRejectionThatNamesEndedAttempt() throws Exception {
+        try (Wire<SipMessage> connection = accept()) {
+            sendAgainAfterRejection(connection, rejection(";branch=z9hG4bKa-0"));
+            assertTrue(nextEvent() instanceof Event.ExchangeAlive);
+            connection.send(rejection(";branch=z9hG4bKa-1").encode());
+            assertTrue(nextEvent() instanceof Event.Rejected);
+        }
+    }
+
+    @Test
+    void cancelsAttemptIfRejectionMayBeSecondCopyOfEarlierOne() throws Exception {
+        try (Wire<SipMessage> connection = accept()) {
+            Attempt second = sendAgainAfterRejection(connection, rejection(""));
+            assertEquals(new Event.AttemptAborted(second, Status.CANCELLED), nextEvent());
+            SipMessage cancel = connection.next();
+            assertEquals("CANCEL", cancel.method());
+            assertEquals("z9hG4bKa-1", SipMessage.parameter(cancel.header("Via"), "branch"));
+        }
+    }
+
+    @Test
+    void acceptsRejectionThatNamesNoAttemptOnceNoCopyCanCome() throws Exception {
+        try (Wire<SipMessage> connection = accept()) {
+            Attempt first = invite("a");
+            assertEquals("INVITE", connection.next().method());
+            Attempt second = AttemptFixture.next(first, clock.get(), clock.get());
+            loop.execute(() -> {
+                links.cancelAttempt(first);
+                links.invite(second);
+            });
+            assertEquals("CANCEL", connection.next().method());
+            assertEquals("INVITE", connection.next().method());
+            connection.send(rejection("").encode());
+            assertTrue(nextEvent() instanceof Event.Rejected);
+        }
+    }
+
     private static ByteBuf response(SipMessage invite) {
         return SipMessage.response(503, "x").with("Call-ID", invite.callId()).with("CSeq", "1 INVITE").encode();
     }
