Build the second address: readiness, figures, drain, and a listener that two versions share

Change: AdminServer (Netty's HTTP codec, a thread of its own, 16 connections, 4 s each) answers /admin/health, stats, quiesce and resume where `control` or LB_CONTROL is set. The loop publishes ServiceStatistics every 0.1 s: final answers by class (CallCounters), INVITEs, pending calls, listed exchanges, and those that the call control avoids. Drain holds the state, ServiceAdministration carries it out and leaves the way to SIGTERM. With a second address, the listener for callers is bound with SO_REUSEPORT.

Ruled out: answering on the loop, closing the listener for a drain, a lock between versions (docs/operations-design.md).

--- a/src/main/java/wingspread/Softswitch.java
+++ b/src/main/java/wingspread/Softswitch.java
@@ -56,6 +56,7 @@
     private final Directory directory;
     private final JsonlFront front;
     private final Optional<SipService> sip;
+    private final ServiceAdministration administration;
     private final long startedAt;
     /** Null if recording is disabled. */
     private final Recorder recorder;
@@ -89,6 +90,8 @@
                 () -> descriptors.callerLimit(links.openCount()), this::post, this::ready, reconnects, metrics);
         this.sip = Optional.ofNullable(sipConfig).map(c -> new SipService(loop, c, settings.settings().classes(),
                 config.seed(), reconnects, this::post, metrics));
+        this.administration = new ServiceAdministration(loop, planner, front, metrics,
+                classNames(settings.settings()), this::started);
         this.recorder = record == null ? null : record.start(startedAt, settings.settings().ownPlace(),
                 settings.settings().softswitches(), classNames(settings.settings()));
         metrics.addGauge("kept.heap-bytes", Softswitch::usedHeapBytes);
@@ -117,12 +120,17 @@
             if (config.names() != null) {
                 directory.setServer(config.names());
             }
-            front.listen(config.listen()).addListener((ChannelFuture future) -> {
+            // Where operators start the next version beside this one, both listen on the address of the callers.
+            boolean shared = config.control() != null;
+            front.listen(config.listen(), shared).addListener((ChannelFuture future) -> {
                 if (!future.isSuccess()) {
                     LOG.error("cannot listen on {}: {}", config.listen(), future.cause().getMessage());
                     System.exit(1);
                 }
                 LOG.info("{} is listening on {}", config.name(), config.listen());
+                if (config.control() != null) {
+                    administration.start(config.control());
+                }
             });
         });
     }
@@ -161,7 +169,13 @@
         loop.requestTurn();
     }
 
+    /** Whether callers may send calls. */
     private boolean ready() {
+        return started() && !administration.isDraining();
+    }
+
+    /** Whether the softswitch has started and is not shutting down. */
+    private boolean started() {
         return !shuttingDown && (links.allStarted() || loop.now() - startedAt > READY_TIMEOUT_MICROS);
     }
 
@@ -171,6 +185,7 @@
             return;
         }
         shuttingDown = true;
+        administration.beginShutdown();
         if (!listening) {
             LOG.info("shutting down before any call was accepted");
             System.exit(0);
--- a/src/main/java/wingspread/config/NodeConfig.java
+++ b/src/main/java/wingspread/config/NodeConfig.java
@@ -15,6 +15,7 @@
  *
  * @param name the name of the softswitch
  * @param listen the address on which callers connect
+ * @param control the address of the administrative server; null if there is none
  * @param seed the seed of the random numbers
  * @param sockets the maximum number of open file descriptors; 1024 if not set
  * @param names the address of the directory server; null if there is none
@@ -22,12 +23,12 @@
  * @param settings the settings of the site
  */
 public record NodeConfig(
-        String name, InetSocketAddress listen, long seed, int sockets, InetSocketAddress names, Map<?, ?> known,
-        SettingsParser.Parsed settings) {
+        String name, InetSocketAddress listen, InetSocketAddress control, long seed, int sockets,
+        InetSocketAddress names, Map<?, ?> known, SettingsParser.Parsed settings) {
 
     /**
-     * Reads the configuration from the environment variables {@code LB_NAME}, {@code LB_LISTEN} and {@code LB_CONFIG}
-     * and the JSON file that the last one names.
+     * Reads the configuration from the environment variables {@code LB_NAME}, {@code LB_LISTEN}, {@code LB_CONTROL}
+     * and {@code LB_CONFIG} and the JSON file that the last one names.
      *
      * @throws ConfigException if a value is missing or invalid
      */
@@ -52,8 +53,10 @@
         Map<String, String> pairs = new HashMap<>();
         flatten("", object(map, "settings"), pairs);
         Object names = map.get("names");
+        Object control = environment.containsKey("LB_CONTROL") ? environment.get("LB_CONTROL") : map.get("control");
         return new NodeConfig(environment.getOrDefault("LB_NAME", String.valueOf(map.get("name"))),
                 address(environment.getOrDefault("LB_LISTEN", String.valueOf(map.get("listen"))), "listen"),
+                control == null ? null : address(control.toString(), "control"),
                 seed(String.valueOf(map.get("seed"))),
                 object(map, "limits").get("sockets") instanceof Double d ? d.intValue() : 1024,
                 names == null ? null : address(String.valueOf(names), "names"), object(map, "known"),
--- a/src/main/java/wingspread/control/WindowControl.java
+++ b/src/main/java/wingspread/control/WindowControl.java
@@ -295,6 +295,12 @@
         exchanges.removeIf(this::removeIfGone);
     }
 
+    @Override
+    public int avoidedExchanges() {
+        return (int) exchanges.stream()
+                .filter(exchange -> exchange.readiness == Readiness.DRAINING || exchange.isGapped()).count();
+    }
+
     /**
      * Removes an exchange that is no longer listed, and returns whether it did. Otherwise the state of
      * exchanges that are replaced repeatedly would accumulate, and their circuits would be counted in
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -22,6 +22,7 @@
 import wingspread.control.ControlParameters;
 import wingspread.control.ExchangeLiveness;
 import wingspread.control.WindowControl;
+import wingspread.core.CallCounters.Answer;
 import wingspread.core.CallLog.AnswerReason;
 import wingspread.core.CallLog.EndReason;
 import wingspread.core.CallLog.IgnoredReleaseReason;
@@ -65,6 +66,7 @@
     private final Caller.UnknownCallListener unknownCalls;
     private final CallControl control;
     private final CallLog log = new CallLog();
+    private final CallCounters counters;
     /** Null if storms of redials are not damped. */
     private final StormGateAdapter stormGate;
     private final ArrayDeque<Event> inbox = new ArrayDeque<>();
@@ -111,6 +113,7 @@
         this.unknownCalls = unknownCalls;
         this.metrics = metrics;
         this.maxCalls = maxCalls;
+        this.counters = new CallCounters(settings.classes().size());
         this.exchangeMonitor = new ExchangeMonitor(clock, deadlines, exchanges,
                 (exchange, silenceMicros) -> actions.add(() -> exchangeUnresponsive(exchange, silenceMicros)));
         this.control = new WindowControl(clock.getAsLong(), settings, parameters, seed, this);
@@ -163,6 +166,26 @@
         draining = true;
     }
 
+    /** Accepts new calls again after {@link #refuseNewCalls}. */
+    public void acceptNewCalls() {
+        draining = false;
+    }
+
+    /** Returns the counts of final answers. */
+    public CallCounters counters() {
+        return counters;
+    }
+
+    /** Returns the number of listed exchanges. */
+    public int listedExchanges() {
+        return startTimes.size();
+    }
+
+    /** Returns the number of listed exchanges that the call control avoids. */
+    public int avoidedExchanges() {
+        return control.avoidedExchanges();
+    }
+
     /** Returns the number of calls that have no final answer yet. */
     public long unansweredCalls() {
         return byId.values().stream().filter(state -> !state.isAnswered()).count();
@@ -265,11 +288,13 @@
         if (byId.containsKey(request.id())) {
             metrics.count("taken.repeats");
             log.answered(request.id(), "failed", AnswerReason.REPEATED_ID, 0);
+            counters.count(request.callClass(), Answer.FAILED);
             caller.onFailed();
             return;
         }
         if (draining) {
             metrics.count("answered.draining");
+            counters.count(request.callClass(), Answer.REFUSED);
             log.answered(request.id(), "refused", AnswerReason.PLANNED_END, 0);
             caller.onRefused(0);
             return;
@@ -277,6 +302,7 @@
         // Calls beyond what the memory can hold are refused before they reach the call control.
         if (byId.size() >= maxCalls || requestBytes + request.sizeBytes() > MAX_REQUEST_BYTES) {
             metrics.count("answered.overfull");
+            counters.count(request.callClass(), Answer.REFUSED);
             log.answered(request.id(), "refused", AnswerReason.TOO_MANY_CALLS, 0);
             caller.onRefused(settings.maxRetryAfter());
             return;
@@ -285,6 +311,7 @@
         if (stormGate != null && !request.transit()) {
             Optional<CallOffer> admitted = stormGate.admit(now, request, parseNumber(request.number()), caller);
             if (admitted.isEmpty()) {
+                counters.count(request.callClass(), Answer.REFUSED);
                 log.answered(request.id(), "refused", AnswerReason.STORM, 0);
                 return;
             }
@@ -320,7 +347,7 @@
             recordFailedOffer(state);
             log.answered(state.request.id(), "failed", shutdown ? AnswerReason.PLANNED_END : AnswerReason.DEADLINE,
                     state.attempts.size());
-            answer(state, "failed", state.caller::onFailed);
+            answer(state, Answer.FAILED, state.caller::onFailed);
         }
     }
 
@@ -391,7 +418,7 @@
         if (state.callOffer != null) {
             stormGate.recordSuccess(now, state.callOffer);
         }
-        answer(state, "stood", () -> state.caller.onEstablished(event.description()));
+        answer(state, Answer.ESTABLISHED, () -> state.caller.onEstablished(event.description()));
     }
 
     private void exchangeReleased(long now, Event.Released event) {
@@ -556,9 +583,10 @@
         }
     }
 
-    private void answer(CallState state, String kind, Runnable notification) {
+    private void answer(CallState state, Answer answer, Runnable notification) {
         state.markAnswered();
-        metrics.count("answered." + kind);
+        metrics.count("answered." + answer.label);
+        counters.count(state.request.callClass(), answer);
         notification.run();
         removeIfDone(state);
     }
@@ -606,24 +634,24 @@
 
     @Override
     public void refuse(long call, long retryAfter) {
-        actions.add(() -> answerIfOpen(call, "refused", state -> state.caller.onRefused(
+        actions.add(() -> answerIfOpen(call, Answer.REFUSED, state -> state.caller.onRefused(
                 state.callOffer == null ? retryAfter : stormGate.waitAfterRefusal(state.callOffer, retryAfter))));
     }
 
     @Override
     public void fail(long call) {
-        actions.add(() -> answerIfOpen(call, "failed", state -> {
+        actions.add(() -> answerIfOpen(call, Answer.FAILED, state -> {
             recordFailedOffer(state);
             state.caller.onFailed();
         }));
     }
 
     /** Gives a call its final answer unless it already has one. */
-    private void answerIfOpen(long call, String kind, Consumer<CallState> notification) {
+    private void answerIfOpen(long call, Answer answer, Consumer<CallState> notification) {
         CallState state = byNumber.get(call);
         if (state != null && !state.isAnswered()) {
-            log.answered(state.request.id(), kind, AnswerReason.DECIDED, state.attempts.size());
-            answer(state, kind, () -> notification.accept(state));
+            log.answered(state.request.id(), answer.label, AnswerReason.DECIDED, state.attempts.size());
+            answer(state, answer, () -> notification.accept(state));
         }
     }
 
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -7,8 +7,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -91,10 +93,15 @@
         metrics.addGauge("kept.established-legs", establishedLegs::size);
     }
 
-    /** Binds the listening socket and starts accepting connections. */
-    public ChannelFuture listen(InetSocketAddress address) {
+    /**
+     * Binds the listening socket and starts accepting connections.
+     *
+     * @param shared whether another process that allows it too may listen on the same address at the same time
+     */
+    public ChannelFuture listen(InetSocketAddress address, boolean shared) {
         ServerBootstrap server = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 512)
+                .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), shared)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/src/test/java/wingspread/ServeFixture.java
+++ b/src/test/java/wingspread/ServeFixture.java
@@ -54,6 +54,11 @@
         return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC");
     }
 
+    /** Returns the environment variables of the program beside that of its configuration. */
+    Map<String, String> environment() {
+        return Map.of();
+    }
+
     @BeforeEach
     void start() throws Exception {
         exchangeListener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
@@ -89,6 +94,7 @@
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "wingspread.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("LB_CONFIG", config);
+        builder.environment().putAll(environment());
         builder.directory(folder.toFile());
         return builder.redirectErrorStream(true).start();
     }
--- a/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
+++ b/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
@@ -44,7 +44,7 @@
 
     @BeforeEach
     void listen() throws Exception {
-        ChannelFuture bound = front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync();
+        ChannelFuture bound = front.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), false).sync();
         port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
         caller = connect();
     }
