--- a/src/main/java/wingspread/control/CallControl.java
+++ b/src/main/java/wingspread/control/CallControl.java
@@ -54,7 +54,7 @@
     /** Handles a message from another softswitch. */
     void onPeer(long now, int from, byte[] message);
 
-    /** Returns the number of listed exchanges that receive no set-ups, or fewer than they would if they were well. */
+    /** Returns the number of listed exchanges that receive no set-ups, or only one per gap. */
     int avoidedExchanges();
 
     /** The actions that a control requests of its host. */
