Review: a call is cut at a restart under a hung exchange and its caller never told

Cause: at a planned end the softswitch releases the calls of an exchange that is silent; with no caller connected the release to the caller is dropped at the exit.

The stand-in exchange can hang, and reports its circuits.

--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -29,7 +29,6 @@
         if (!rig.await(5_000, () -> caller.count("accept", CALL) == 1 && exchange.count("ACK", CALL) == 1)) {
             throw new Rig.CannotRun("the call does not stand");
         }
-        exchange.standing.add(CALL);
         Rig.sleep(1_000);
 
         if (rig.trouble) {
--- a/review/lib-2/Rig.java
+++ b/review/lib-2/Rig.java
@@ -441,15 +441,22 @@
     /** Answers set-ups at once, and hears releases. */
     static final Behaviour SOUND = (exchange, connection, request) -> {
         switch (request.method()) {
-            case "INVITE" -> connection.send(request.reply(200, "OK", "X-Gauges: " + exchange.gauges() + "\r\n",
-                    "answer of " + exchange.name + " to " + request.callId() + "\r\n"));
-            case "BYE" -> connection.send(request.reply(200, "OK", "", ""));
+            case "INVITE" -> {
+                exchange.standing.add(request.callId());
+                connection.send(request.reply(200, "OK", "X-Gauges: " + exchange.gauges() + "\r\n",
+                        "answer of " + exchange.name + " to " + request.callId() + "\r\n"));
+            }
+            case "BYE" -> {
+                exchange.standing.remove(request.callId());
+                connection.send(request.reply(200, "OK", "", ""));
+            }
             default -> { }
         }
     };
 
     /** An exchange by the protocol page: it sends the state of its group first on each connection. */
     final class Exchange implements AutoCloseable {
+        private static final int CIRCUITS = 140;
         final String name;
         final List<Sip> received = new CopyOnWriteArrayList<>();
         final List<Connection> connections = new CopyOnWriteArrayList<>();
@@ -472,8 +479,21 @@
             return listener.getLocalPort();
         }
 
+        private volatile boolean hanging;
+
+        /** Stops or resumes all work: reading, answering, and the first message on a connection. */
+        void hang(boolean on) {
+            hanging = on;
+        }
+
+        private void awaitWork() throws InterruptedException {
+            while (hanging) {
+                Thread.sleep(2);
+            }
+        }
+
         String gauges() {
-            return "x0:" + (40 - standing.size()) + ";x1:40;queue:0;qps:100";
+            return "x0:" + Math.max(0, CIRCUITS - standing.size()) + ";x1:" + CIRCUITS + ";queue:0;qps:100";
         }
 
         private void accept() {
@@ -549,6 +569,7 @@
             void read() {
                 try (InputStream in = new BufferedInputStream(socket.getInputStream())) {
                     socket.setTcpNoDelay(true);
+                    awaitWork();
                     send("NOTIFY sip:group@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: group\r\nCSeq: 1 NOTIFY\r\n"
                             + "X-Gauges: " + gauges() + "\r\nContent-Length: 0\r\n\r\n");
                     for (String release : List.copyOf(releasesForNextConnection)) {
@@ -556,6 +577,7 @@
                         send(release);
                     }
                     for (Sip message = next(in); message != null; message = next(in)) {
+                        awaitWork();
                         received.add(message);
                         note(name + " received " + message.startLine() + " call " + message.callId());
                         if (message.isRequest() && !message.method().equals("ACK")) {
