Review: sources that the earlier build leaves alone, and cases 9 and 10 in their order

Change: the sources are Trial6.java to Trial10.java. Case 9 is the answer for one host cut short (was 8), case 10 the exchange that hangs through a restart (was 9).

--- a/review/9/Case9.java
+++ b/review/10/Trial10.java
@@ -4,15 +4,15 @@
 /**
  * An exchange hangs through the whole of a planned restart, in which no caller holds a connection. A call stands on it.
  */
-final class Case9 {
+final class Trial10 {
     private static final String CALL = "9b1f03aa5c7e2d41";
     /** 8 s, and 50 ms on sockets. */
     private static final int BOUND_MILLIS = 8_050;
 
-    private Case9() { }
+    private Trial10() { }
 
     public static void main(String[] args) {
-        Rig.main(args, Case9::run);
+        Rig.main(args, Trial10::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
--- a/review/6/Case6.java
+++ b/review/6/Trial6.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Bad clients send hundreds of requests at once on connections that were opened by the hundred. */
-final class Case6 {
+final class Trial6 {
     /** Under a third of the 1,024 descriptors. */
     private static final int CONNECTIONS = 300;
     private static final int REQUESTS = 400;
@@ -21,10 +21,10 @@
     private static final String LATER = "9b1f03aa5c7e2d42";
     private static final int LEFT_MILLIS = 9_000;
 
-    private Case6() { }
+    private Trial6() { }
 
     public static void main(String[] args) {
-        Rig.main(args, Case6::run);
+        Rig.main(args, Trial6::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,5 +3,5 @@
 # disruption out. Needs the build of the deploy file and review/build-2.sh.
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
-[ -f "$root/target/wingspread.jar" ] && [ -f "$root/target/review-2/Case6.class" ] || exit 2
-exec java -XX:+UseSerialGC -Xmx128m -cp "$root/target/review-2" Case6 "$root" "$here"
+[ -f "$root/target/wingspread.jar" ] && [ -f "$root/target/review-2/Trial6.class" ] || exit 2
+exec java -XX:+UseSerialGC -Xmx128m -cp "$root/target/review-2" Trial6 "$root" "$here"
--- a/review/7/Case7.java
+++ b/review/7/Trial7.java
@@ -1,15 +1,15 @@
 import java.util.List;
 
 /** A bad client's number called holds line breaks: what follows them reaches the exchange as messages of their own. */
-final class Case7 {
+final class Trial7 {
     private static final String GOOD = "9b1f03aa5c7e2d41";
     private static final String BAD = "4c11aa0000000001";
     private static final String NEVER_SENT = "feedfacefeedface";
 
-    private Case7() { }
+    private Trial7() { }
 
     public static void main(String[] args) {
-        Rig.main(args, Case7::run);
+        Rig.main(args, Trial7::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
--- a/review/8/Case8.java
+++ b/review/9/Trial9.java
@@ -4,13 +4,13 @@
  * An exchange joins while another drains. For 1 s the directory's answers arrive cut short: the list without its
  * additional records, and the answer to the query for the new host's TXT record, which names its cell, without that.
  */
-final class Case8 {
+final class Trial9 {
     private static final int CUT_MILLIS = 1_000;
 
-    private Case8() { }
+    private Trial9() { }
 
     public static void main(String[] args) {
-        Rig.main(args, Case8::run);
+        Rig.main(args, Trial9::run);
     }
 
     private static boolean run(Rig rig) throws Exception {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,8 +5,8 @@
 mkdir -p target/review-2
 set -- review/lib-2/*.java
 for case in 6 7 8 9 10; do
-    if [ -f "review/$case/Case$case.java" ]; then
-        set -- "$@" "review/$case/Case$case.java"
+    if [ -f "review/$case/Trial$case.java" ]; then
+        set -- "$@" "review/$case/Trial$case.java"
     fi
 done
 javac -Xlint:all -d target/review-2 "$@"
