--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. TROUBLE=0 leaves the
+# disruption out. Needs the build of the deploy file and review/build-2.sh.
+here="$(cd "$(dirname "$0")" && pwd)"
+root="$(cd "$here/../.." && pwd)"
+[ -f "$root/target/wingspread.jar" ] && [ -f "$root/target/review-2/Trial8.class" ] || exit 2
+exec java -XX:+UseSerialGC -Xmx128m -cp "$root/target/review-2" Trial8 "$root" "$here"
