--- a/review/8/Trial8.java
+++ b/review/8/Trial8.java
@@ -1,6 +1,6 @@
 import java.util.List;
 
-/** One bad client offers one call with a width out of range, and closes. Usual callers' calls stand on the same exchange. */
+/** One bad client offers one call with a width out of range. Usual callers' calls stand on the same exchange. */
 final class Trial8 {
     private static final int CALLS = 5;
     private static final String BAD = "4c11aa0000000001";
--- a/review/lib-2/Rig.java
+++ b/review/lib-2/Rig.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -50,12 +51,15 @@
     private final PrintWriter record;
     private final long startedAt = System.nanoTime();
     private final List<AutoCloseable> resources = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean closed = new AtomicBoolean();
 
     private Rig(Path root, Path folder) throws IOException {
         this.root = root;
         this.folder = folder;
         this.temporary = Files.createTempDirectory("review-");
         this.record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
+        // Also where the script is ended from outside.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::closeAll));
     }
 
     static void main(String[] args, Case body) {
@@ -109,6 +113,9 @@
     }
 
     private void closeAll() {
+        if (closed.getAndSet(true)) {
+            return;
+        }
         List<AutoCloseable> reversed = new ArrayList<>(resources);
         java.util.Collections.reverse(reversed);
         for (AutoCloseable resource : reversed) {
@@ -216,7 +223,6 @@
             log = temporary.resolve(logName + ".log");
             builder.redirectErrorStream(true).redirectOutput(log.toFile());
             process = builder.start();
-            Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
             note("started the softswitch, process " + process.pid());
         }
 
