Bound the input of a turn and process connections in round robin

Callers saw: a burst of requests from a few hundred connections ended the process (Java heap space, exit code 3), and a smaller one delayed everybody's answers. Cause: an iteration of the loop read every ready connection, up to 1 MiB each, and queued an event for each request before the planner's turn handled the first; the planner's limits apply in the turn only. Change: net.InputScheduler processes 512 messages or 1 MiB a turn, round robin; MessageHandler buffers 32 KiB at most and leaves the rest to TCP's flow control; a caller's messages wait while it does not read its replies, 3 s at most; unsent output is bounded over all connections; messages in small pieces are searched for their end once. Rejected: turns inside an iteration as a queue fills, which bounds memory and not how late others are answered. The test of 500 clients that stop within a large request passed before too: that picture did not end this process.

--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -48,6 +50,10 @@
      * idle connection would occupy a file descriptor for nothing.
      */
     private static final long FIRST_MESSAGE_TIMEOUT_MICROS = 2_500_000;
+    /** Unsent bytes of replies above which a connection's further messages wait, and below which they go on. */
+    private static final WriteBufferWaterMark UNREAD_REPLIES_MARK = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+    /** Few, as hundreds of connections may send at full speed beside those of the usual callers. */
+    private static final int MESSAGES_PER_ROUND = 2;
     private static final long MAX_PAUSE_MS = 2_200;
     private static final int MAX_PAUSES = 4;
     /** The loop handles all I/O that is ready before it runs a task that is due after this delay. */
@@ -103,6 +109,8 @@
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), shared)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MessageHandler.READ_BYTES))
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, UNREAD_REPLIES_MARK)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -165,7 +173,7 @@
     }
 
     private void accept(SocketChannel channel) {
-        channel.pipeline().addLast(new MessageHandler<>("caller", new LineDecoder(), this));
+        channel.pipeline().addLast(new MessageHandler<>("caller", new LineDecoder(), this, loop.input()));
         connections.put(channel, new ConnectionCalls());
         admission.opened(channel);
         accepted++;
@@ -188,6 +196,22 @@
         return MAX_PAUSES;
     }
 
+    @Override
+    public int messagesPerRound() {
+        return MESSAGES_PER_ROUND;
+    }
+
+    @Override
+    public boolean waitsForReplies() {
+        return true;
+    }
+
+    /** Calls of a caller that has left are not started any more; the ends of its calls still count. */
+    @Override
+    public boolean isObsoleteAfterEnd(Map<?, ?> message) {
+        return !text(message, "op").equals("end");
+    }
+
     @Override
     public boolean hasPendingReply(Channel channel) {
         ConnectionCalls calls = connections.get(channel);
--- a/src/main/java/wingspread/front/sip/SipListener.java
+++ b/src/main/java/wingspread/front/sip/SipListener.java
@@ -86,6 +86,7 @@
                 ? new AcceptThrottle(loop, "SIP " + transport, reconnects, metrics) : null;
         ServerBootstrap server = new ServerBootstrap().group(loop.group()).channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MessageHandler.READ_BYTES))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -114,7 +115,7 @@
     }
 
     private void addStream(SocketChannel channel, String transport) {
-        channel.pipeline().addLast(new MessageHandler<>("SIP " + transport, new SipDecoder(), this));
+        channel.pipeline().addLast(new MessageHandler<>("SIP " + transport, new SipDecoder(), this, loop.input()));
         streams.put(channel, new StreamPeer(channel, transport, null));
         admission.opened(channel);
     }
@@ -247,11 +248,12 @@
         private void reconnect(SipMessage message) {
             new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MessageHandler.READ_BYTES))
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
                         protected void initChannel(SocketChannel newChannel) {
                             newChannel.pipeline().addLast(new MessageHandler<>("SIP TCP", new SipDecoder(),
-                                    SipListener.this));
+                                    SipListener.this, loop.input()));
                         }
                     })
                     .connect(contact)
--- a/src/main/java/wingspread/json/LineDecoder.java
+++ b/src/main/java/wingspread/json/LineDecoder.java
@@ -9,7 +9,12 @@
 public final class LineDecoder implements FrameDecoder<Map<?, ?>> {
     @Override
     public DecodeResult<Map<?, ?>> next(byte[] bytes, int from, int to) throws InvalidInputException {
-        int end = from;
+        return next(bytes, from, from, to);
+    }
+
+    @Override
+    public DecodeResult<Map<?, ?>> next(byte[] bytes, int from, int examinedTo, int to) throws InvalidInputException {
+        int end = examinedTo;
         while (end < to && bytes[end] != '\n') {
             end++;
         }
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -369,12 +370,13 @@
     private void openConnection(long timeoutMicros, ChannelFutureListener listener) {
         new Bootstrap().group(loop.group()).channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MessageHandler.READ_BYTES))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, timeoutMicros / 1_000))
                 .handler(new ChannelInitializer<NioSocketChannel>() {
                     @Override
                     protected void initChannel(NioSocketChannel channel) {
                         channel.pipeline().addLast(new MessageHandler<>("exchange " + exchangeNumber, new SipDecoder(),
-                                Link.this));
+                                Link.this, loop.input()));
                     }
                 })
                 .connect(endpoint)
--- a/src/main/java/wingspread/net/Loop.java
+++ b/src/main/java/wingspread/net/Loop.java
@@ -14,15 +14,17 @@
 import wingspread.turn.Worker;
 
 /**
- * The single event loop of the process. Each iteration first reads and collects all pending input; then the workers
- * run one turn, and each channel that they wrote to is flushed once.
+ * The single event loop of the process. Each iteration first reads pending input; then a turn processes a limited part
+ * of it in the order of the {@link InputScheduler}, the workers run, and each channel that they wrote to is flushed once.
  */
 public final class Loop {
     private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
     private final NioEventLoop eventLoop = (NioEventLoop) group.next();
     private final LongSupplier clock;
     private final Set<Channel> unflushed = new LinkedHashSet<>();
+    private final UnsentOutputLimit unsentOutput = new UnsentOutputLimit();
     private final List<Worker> workers = new ArrayList<>();
+    private final InputScheduler input = new InputScheduler(this::requestTurn);
     private boolean turnRequested;
     private boolean inTurn;
     private ScheduledFuture<?> timer;
@@ -47,6 +49,11 @@
         return clock.getAsLong();
     }
 
+    /** Returns the scheduler of the input of all connections. */
+    public InputScheduler input() {
+        return input;
+    }
+
     /** Adds a worker; within an iteration the workers run in the order in which they were added. */
     public void addWorker(Worker worker) {
         workers.add(worker);
@@ -80,8 +87,12 @@
 
     /** Flushes all marked channels immediately. */
     public void flush() {
-        unflushed.forEach(Channel::flush);
+        for (Channel channel : unflushed) {
+            channel.flush();
+            unsentOutput.flushed(channel);
+        }
         unflushed.clear();
+        unsentOutput.enforce();
     }
 
     /** Shuts the loop down; it does not flush, so call {@link #flush} before. */
@@ -93,7 +104,7 @@
         turnRequested = false;
         inTurn = true;
         try {
-            workers.forEach(Worker::turn);
+            processInput();
         } finally {
             // Flush even if the turn failed with an exception: Netty logs it and the loop continues.
             inTurn = false;
@@ -110,6 +121,18 @@
         }
     }
 
+    private void processInput() {
+        try {
+            input.process();
+        } finally {
+            workers.forEach(Worker::turn);
+            if (input.hasInput()) {
+                // Not requestTurn, which would run the next turn before anything else is read.
+                eventLoop.execute(this::requestTurn);
+            }
+        }
+    }
+
     private void onTimer() {
         timerDue = Long.MAX_VALUE;
         timer = null;
--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -10,20 +10,29 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Handles one stream connection: splits the received bytes into messages, limits both the incomplete input and the
+ * Handles one stream connection: splits the received bytes into messages, limits both the unprocessed input and the
  * unsent output, and logs the end of the connection in a single line.
  *
+ * <p>With an {@link InputScheduler}, received bytes are buffered until the scheduler lets the connection process a
+ * message; beyond a limit they are left to the operating system, whose flow control then holds the peer back.
+ *
  * @param <M> type of the messages
  */
-public final class MessageHandler<M> extends ChannelInboundHandlerAdapter {
+public final class MessageHandler<M> extends ChannelInboundHandlerAdapter implements InputScheduler.Source {
+    /** Size of a single read; the default would grow with the input of a peer, up to four times this size. */
+    public static final int READ_BYTES = 16 * 1024;
     /** Unsent bytes above which a connection is closed because the peer does not read. */
     private static final long MAX_UNSENT_BYTES = 1 << 20;
+    /** Unprocessed bytes from which on a connection is not read, unless they are an incomplete message. */
+    private static final int MAX_READ_AHEAD_BYTES = 32 * 1024;
+    /** Initial size of the buffer, to which a larger one returns when it is empty. */
+    private static final int INITIAL_BUFFER_BYTES = 1024;
+    private static final byte[] NO_BYTES = new byte[0];
     private static final Logger LOG = LoggerFactory.getLogger("connection");
 
     /**
@@ -56,6 +65,24 @@
             return 1;
         }
 
+        /** Returns how many messages the connection may process in one round of an {@link InputScheduler}. */
+        default int messagesPerRound() {
+            return DEFAULT_MESSAGES_PER_ROUND;
+        }
+
+        /**
+         * Whether the connection processes no further message while the peer does not read its replies. Otherwise the
+         * connection is closed when too many are unsent.
+         */
+        default boolean waitsForReplies() {
+            return false;
+        }
+
+        /** Whether a message that is not processed when its connection ends is dropped, as its sender has left. */
+        default boolean isObsoleteAfterEnd(M message) {
+            return false;
+        }
+
         /** Whether a reply is pending on the connection; until it is sent, no incomplete message closes it. */
         default boolean hasPendingReply(Channel channel) {
             return false;
@@ -63,13 +90,25 @@
     }
 
     private static final long DEFAULT_MAX_PAUSE_MS = 400;
+    private static final int DEFAULT_MESSAGES_PER_ROUND = 16;
+    /** Time for which a connection may wait for its peer to read replies, in milliseconds. */
+    private static final long MAX_UNREAD_REPLIES_MS = 3_000;
 
     private final String kind;
     private final FrameDecoder<M> decoder;
     private final Listener<M> listener;
-    private byte[] bytes = new byte[1024];
+    /** Null if messages are processed as soon as they are read. */
+    private final InputScheduler scheduler;
+    private ChannelHandlerContext context;
+    private byte[] bytes = new byte[INITIAL_BUFFER_BYTES];
     private int readIndex;
     private int writeIndex;
+    /** Number of unprocessed bytes in which the decoder has found no complete message. */
+    private int examinedBytes;
+    /** Number of unprocessed bytes without which no message is complete; 0 if unknown. */
+    private int requiredBytes;
+    /** Whether the scheduler has this connection in its queue. */
+    private boolean scheduled;
     private long messageCount;
     private long receivedBytes;
     /** Consecutive check intervals in which no message was completed. */
@@ -78,18 +117,36 @@
     private ScheduledFuture<?> incompleteMessageCheck;
     /** Closes a connection whose peer does not close it after {@link #closeOutput}; null before that. */
     private ScheduledFuture<?> halfCloseTimeout;
+    /** Closes a connection whose peer does not read its replies; null while it does. */
+    private ScheduledFuture<?> unreadRepliesTimeout;
     private CloseReason closeReason = CloseReason.PEER_CLOSED;
     private String closeDetail = "";
 
     /**
-     * Creates the handler of one connection.
+     * Creates the handler of one connection that processes messages as soon as they are read.
      *
      * @param kind name of the peer in the log
      */
     public MessageHandler(String kind, FrameDecoder<M> decoder, Listener<M> listener) {
+        this(kind, decoder, listener, null);
+    }
+
+    /**
+     * Creates the handler of one connection.
+     *
+     * @param kind name of the peer in the log
+     * @param scheduler decides when messages are processed; null for as soon as they are read
+     */
+    public MessageHandler(String kind, FrameDecoder<M> decoder, Listener<M> listener, InputScheduler scheduler) {
         this.kind = kind;
         this.decoder = decoder;
         this.listener = listener;
+        this.scheduler = scheduler;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        context = ctx;
     }
 
     /** Closes a connection and logs this reason with its end. */
@@ -134,8 +191,12 @@
                 || unsent != null && unsent.totalPendingWriteBytes() > 0;
     }
 
-    /** Writes without a flush; closes the connection if its peer does not read. */
+    /** Writes without a flush, unless the connection has ended; closes it if its peer does not read. */
     public static void write(Channel channel, ByteBuf message) {
+        if (!channel.isActive()) {
+            message.release();
+            return;
+        }
         channel.write(message, channel.voidPromise());
         // If the peer stopped reading, the unsent bytes would fill up the memory without a limit.
         if (channel.unsafe().outboundBuffer() != null
@@ -152,21 +213,135 @@
         } finally {
             data.release();
         }
+        if (scheduler != null) {
+            schedule();
+            return;
+        }
+        while (ctx.channel().isActive() && processNext() > 0) {
+            // Continue with the next message.
+        }
+    }
+
+    /** Lets the connection process its input in the next turn, and reads no more of it beyond the limit. */
+    private void schedule() {
+        if (!scheduled) {
+            scheduled = true;
+            scheduler.add(this);
+        }
+        int limit = scheduler.mayReadAhead() ? MAX_READ_AHEAD_BYTES : FrameDecoder.MAX_FRAME;
+        if (unprocessedBytes() >= limit) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public int messagesPerRound() {
+        return listener.messagesPerRound();
+    }
+
+    @Override
+    public int processNext() {
+        Channel channel = context.channel();
+        if (!channel.isActive() || listener.waitsForReplies() && !channel.isWritable()) {
+            scheduled = false;
+            return 0;
+        }
+        int before = unprocessedBytes();
+        M message = nextMessage();
+        if (message != null) {
+            deliver(message);
+        } else if (channel.isActive()) {
+            scheduled = false;
+            scheduleIncompleteMessageCheck(context);
+            channel.config().setAutoRead(true);
+        }
+        return message == null ? 0 : Math.max(1, before - unprocessedBytes());
+    }
+
+    /** Decodes the next message; returns null if none is complete, or if the connection was closed for bad input. */
+    private M nextMessage() {
+        if (unprocessedBytes() < requiredBytes) {
+            return null;
+        }
         try {
-            while (ctx.channel().isActive()) {
-                FrameDecoder.DecodeResult<M> decoded = decoder.next(bytes, readIndex, writeIndex);
-                readIndex += decoded.consumedBytes();
-                if (decoded.message() == null) {
-                    scheduleIncompleteMessageCheck(ctx);
-                    return;
-                }
-                messageCount++;
-                listener.received(ctx.channel(), decoded.message());
-            }
+            FrameDecoder.DecodeResult<M> decoded =
+                    decoder.next(bytes, readIndex, readIndex + examinedBytes, writeIndex);
+            consume(decoded.consumedBytes());
+            requiredBytes = decoded.requiredBytes();
+            examinedBytes = decoded.message() != null || requiredBytes > 0 ? 0 : unprocessedBytes();
+            return decoded.message();
         } catch (InvalidInputException e) {
-            closeDetail = " (" + e.getMessage() + ")";
-            close(ctx.channel(), CloseReason.BAD_INPUT);
+            closeForBadInput(e.getMessage());
+            return null;
+        }
+    }
+
+    private void deliver(M message) {
+        messageCount++;
+        boolean handled = false;
+        try {
+            listener.received(context.channel(), message);
+            handled = true;
+        } catch (InvalidInputException e) {
+            handled = true;
+            closeForBadInput(e.getMessage());
+        } finally {
+            if (!handled) {
+                closeDetail = " (defect)";
+                close(context.channel(), CloseReason.RESET);
+            }
+        }
+    }
+
+    private void closeForBadInput(String problem) {
+        closeDetail = " (" + problem + ")";
+        dropInput();
+        close(context.channel(), CloseReason.BAD_INPUT);
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (scheduler != null && listener.waitsForReplies()) {
+            if (unreadRepliesTimeout != null) {
+                unreadRepliesTimeout.cancel(false);
+                unreadRepliesTimeout = null;
+            }
+            if (ctx.channel().isWritable()) {
+                schedule();
+            } else {
+                unreadRepliesTimeout = ctx.executor().schedule(() -> close(ctx.channel(), CloseReason.BACKLOG),
+                        MAX_UNREAD_REPLIES_MS, TimeUnit.MILLISECONDS);
+            }
         }
+        ctx.fireChannelWritabilityChanged();
+    }
+
+    private int unprocessedBytes() {
+        return writeIndex - readIndex;
+    }
+
+    private void consume(int count) {
+        readIndex += count;
+        bufferedBytesChanged(-count);
+        if (readIndex == writeIndex) {
+            readIndex = 0;
+            writeIndex = 0;
+            if (bytes.length > READ_BYTES) {
+                bytes = new byte[INITIAL_BUFFER_BYTES];
+            }
+        }
+    }
+
+    private void bufferedBytesChanged(int difference) {
+        if (scheduler != null) {
+            scheduler.bufferedBytesChanged(difference);
+        }
+    }
+
+    private void dropInput() {
+        consume(unprocessedBytes());
+        examinedBytes = 0;
+        requiredBytes = 0;
     }
 
     /**
@@ -181,7 +356,7 @@
             incompleteMessageCheck = ctx.executor().schedule(() -> {
                 incompleteMessageCheck = null;
                 incompletePauses = messageCount > messageCountBefore ? 0 : incompletePauses + 1;
-                boolean timedOut = writeIndex > readIndex && messageCount == messageCountBefore
+                boolean timedOut = hasIncompleteMessage() && messageCount == messageCountBefore
                         && (receivedBytes == receivedBytesBefore || incompletePauses >= listener.maxPauses());
                 if (timedOut && !listener.hasPendingReply(ctx.channel())) {
                     closeDetail = " (incomplete message)";
@@ -193,28 +368,43 @@
         }
     }
 
+    /** Whether the unprocessed bytes are the beginning of a message, and not messages that wait to be processed. */
+    private boolean hasIncompleteMessage() {
+        int unprocessed = unprocessedBytes();
+        return unprocessed > 0 && (examinedBytes == unprocessed || unprocessed < requiredBytes);
+    }
+
     private void append(ByteBuf data) {
         int added = data.readableBytes();
         receivedBytes += added;
+        bufferedBytesChanged(added);
         if (writeIndex + added > bytes.length) {
-            byte[] target = writeIndex - readIndex + added > bytes.length
-                    ? new byte[Integer.highestOneBit(writeIndex - readIndex + added) * 2] : bytes;
-            System.arraycopy(bytes, readIndex, target, 0, writeIndex - readIndex);
-            bytes = target;
-            writeIndex -= readIndex;
-            readIndex = 0;
+            makeRoom(unprocessedBytes() + added);
         }
         data.readBytes(bytes, writeIndex, added);
         writeIndex += added;
     }
 
+    /** Moves the unprocessed bytes to the start of a buffer that holds at least this number of bytes. */
+    private void makeRoom(int required) {
+        byte[] target = bytes;
+        if (required > bytes.length) {
+            int doubled = Math.min(bytes.length * 2, FrameDecoder.MAX_FRAME + READ_BYTES);
+            target = new byte[Math.max(required, doubled)];
+        }
+        System.arraycopy(bytes, readIndex, target, 0, unprocessedBytes());
+        bytes = target;
+        writeIndex -= readIndex;
+        readIndex = 0;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         LOG.info("{} {} ended {}{} local-port={}", kind, ctx.channel().remoteAddress(), closeReason, closeDetail,
                 localPort(ctx.channel()));
-        bytes = Arrays.copyOf(bytes, 0);
-        readIndex = 0;
-        writeIndex = 0;
+        deliverRest();
+        dropInput();
+        bytes = NO_BYTES;
         if (incompleteMessageCheck != null) {
             // The check would keep the closed channel until its time.
             incompleteMessageCheck.cancel(false);
@@ -222,9 +412,21 @@
         if (halfCloseTimeout != null) {
             halfCloseTimeout.cancel(false);
         }
+        if (unreadRepliesTimeout != null) {
+            unreadRepliesTimeout.cancel(false);
+        }
         listener.ended(ctx.channel(), closeReason);
     }
 
+    /** Delivers what was received before the connection ended, except for what its sender no longer waits for. */
+    private void deliverRest() {
+        for (M message = nextMessage(); message != null; message = nextMessage()) {
+            if (!listener.isObsoleteAfterEnd(message)) {
+                deliver(message);
+            }
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof DecoderException) {
--- a/src/main/java/wingspread/sip/SipDecoder.java
+++ b/src/main/java/wingspread/sip/SipDecoder.java
@@ -12,14 +12,21 @@
 public final class SipDecoder implements FrameDecoder<SipMessage> {
     /** The limit on the lines of a message head, its first line included. */
     private static final int MAX_HEAD_LINES = 100;
+    /** The length of the empty line that ends a message head, with the end of the line before it. */
+    private static final int END_OF_HEAD_BYTES = 4;
 
     @Override
     public DecodeResult<SipMessage> next(byte[] bytes, int from, int to) throws InvalidInputException {
+        return next(bytes, from, from, to);
+    }
+
+    @Override
+    public DecodeResult<SipMessage> next(byte[] bytes, int from, int examinedTo, int to) throws InvalidInputException {
         int start = from;
         while (start < to && (bytes[start] == '\r' || bytes[start] == '\n')) {
             start++;
         }
-        int bodyStart = findBody(bytes, start, to);
+        int bodyStart = findBody(bytes, Math.max(start, examinedTo - END_OF_HEAD_BYTES), to);
         if (bodyStart < 0) {
             // Limits the buffered bytes of a message whose head never ends.
             if (to - start > MAX_FRAME) {
@@ -37,7 +44,7 @@
         }
         int end = bodyStart + (int) length;
         if (to < end) {
-            return new DecodeResult<>(null, start - from);
+            return new DecodeResult<>(null, start - from, end - start);
         }
         return new DecodeResult<>(message.withBody(Arrays.copyOfRange(bytes, bodyStart, end)), end - from);
     }
@@ -80,14 +87,14 @@
     private static int findBody(byte[] bytes, int from, int to) {
         for (int i = from; i + 3 < to; i++) {
             if (bytes[i] == '\r' && bytes[i + 1] == '\n' && bytes[i + 2] == '\r' && bytes[i + 3] == '\n') {
-                return i + 4;
+                return i + END_OF_HEAD_BYTES;
             }
         }
         return -1;
     }
 
     private static SipMessage parseHead(byte[] bytes, int from, int to) throws InvalidInputException {
-        String[] lines = new String(bytes, from, to - from - 4, StandardCharsets.ISO_8859_1).split("\r\n");
+        String[] lines = new String(bytes, from, to - from - END_OF_HEAD_BYTES, StandardCharsets.ISO_8859_1).split("\r\n");
         SipMessage startLine = parseStartLine(lines[0]);
         if (lines.length > MAX_HEAD_LINES) {
             throw new InvalidInputException("SIP: more than " + MAX_HEAD_LINES + " lines in a message head");
--- a/src/test/java/wingspread/BadClientMemoryTest.java
+++ b/src/test/java/wingspread/BadClientMemoryTest.java
@@ -11,6 +11,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,6 +29,14 @@
     /** All batches together hold 144 MB, nearly twice the heap. */
     private static final int PADDING_CHARS = 12_000;
 
+    /** A burst of all clients together holds 108 MB, more than the heap. */
+    private static final int BURST_CLIENTS = 100;
+    private static final int BURST_CALLS = 900;
+    private static final int BURST_PADDING_CHARS = 1_000;
+    /** Half a request, as long as one may be. */
+    private static final int INCOMPLETE_CHARS = 16_000;
+    private static final int SLOW_CLIENTS = 500;
+
     private long nextCall = 1;
 
     @Override
@@ -35,6 +47,11 @@
         return command;
     }
 
+    @Override
+    int maxSockets() {
+        return 1_024;
+    }
+
     private static String maxHeapOption() {
         try {
             Matcher option = Pattern.compile("-Xmx\\w+").matcher(Files.readString(Path.of("deploy/balancer.toml")));
@@ -90,6 +107,66 @@
         }
     }
 
+    /**
+     * Guards against an OutOfMemoryError by a burst of requests: everything that had arrived was read and queued before
+     * the first of it was processed.
+     */
+    @Test
+    void servesUsualCallersAfterBurstOfRequestsOnManyConnections() throws Exception {
+        ExecutorService senders = Executors.newCachedThreadPool();
+        List<Wire<Map<?, ?>>> clients = new ArrayList<>();
+        try {
+            List<Future<?>> sent = new ArrayList<>();
+            for (int i = 0; i < BURST_CLIENTS; i++) {
+                Wire<Map<?, ?>> client = connect();
+                clients.add(client);
+                String burst = burst();
+                sent.add(senders.submit(() -> {
+                    client.send(burst);
+                    return null;
+                }));
+            }
+            for (Future<?> future : sent) {
+                future.get(30, TimeUnit.SECONDS);
+            }
+            for (Wire<Map<?, ?>> client : clients) {
+                assertEquals("end", client.next().get("op"));
+            }
+            establishCall(CALL_ID);
+        } finally {
+            senders.shutdownNow();
+            for (Wire<Map<?, ?>> client : clients) {
+                client.close();
+            }
+        }
+    }
+
+    private String burst() {
+        StringBuilder offers = new StringBuilder();
+        for (int i = 0; i < BURST_CALLS; i++) {
+            offers.append(refusedOffer(String.format("%016x", nextCall++), "1500", "x".repeat(BURST_PADDING_CHARS)));
+        }
+        return offers.toString();
+    }
+
+    /** Guards against an OutOfMemoryError by hundreds of clients that stop within a request as long as it may be. */
+    @Test
+    void servesUsualCallersBesideHundredsOfClientsThatStopWithinALargeRequest() throws Exception {
+        List<Wire<Map<?, ?>>> clients = new ArrayList<>();
+        try {
+            for (int i = 0; i < SLOW_CLIENTS; i++) {
+                Wire<Map<?, ?>> client = connect();
+                clients.add(client);
+                client.send(refusedOffer("00000000000000ff", "1500", "") + "{\"op\":\"" + "x".repeat(INCOMPLETE_CHARS));
+            }
+            establishCall(CALL_ID);
+        } finally {
+            for (Wire<Map<?, ?>> client : clients) {
+                client.close();
+            }
+        }
+    }
+
     /** Guards against an OutOfMemoryError by the ids of ended calls, which a client may choose as long as a message. */
     @Test
     void servesUsualCallersAfterManyRefusedCallsWithLongIds() throws Exception {
--- a/src/test/java/wingspread/ServeFixture.java
+++ b/src/test/java/wingspread/ServeFixture.java
@@ -54,6 +54,11 @@
         return List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC");
     }
 
+    /** Returns the limit of file descriptors that the program is told. */
+    int maxSockets() {
+        return 64;
+    }
+
     /** Returns the environment variables of the program beside that of its configuration. */
     Map<String, String> environment() {
         return Map.of();
@@ -75,7 +80,7 @@
     /** Writes a configuration with this address of the directory server. */
     void configure(String directoryAddress) throws IOException {
         Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\","
-                + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":64},\"settings\":" + SETTINGS
+                + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + maxSockets() + "},\"settings\":" + SETTINGS
                 + ",\"known\":{\"rev\":1,\"notices\":[{\"rev\":1,\"pool\":{\"all\":true,\"targets\":["
                 + "{\"uid\":\"s-1\",\"endpoint\":\"127.0.0.1:" + exchangeListener.getLocalPort() + "\","
                 + "\"az\":\"here\",\"model\":\"std\",\"pod_group\":1,\"state\":\"up\",\"capacity_hint\":1,"
--- a/src/test/java/wingspread/net/MessageHandlerTest.java
+++ b/src/test/java/wingspread/net/MessageHandlerTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -129,6 +131,90 @@
         assertTrue(channel.isOpen());
     }
 
+    private EmbeddedChannel scheduledChannel(InputScheduler scheduler, boolean dropRest) {
+        return new EmbeddedChannel(new MessageHandler<>("test", new LineDecoder(),
+                new MessageHandler.Listener<Map<?, ?>>() {
+                    @Override
+                    public void received(Channel from, Map<?, ?> message) {
+                        events.add(message);
+                    }
+
+                    @Override
+                    public void ended(Channel from, CloseReason reason) {
+                        events.add(reason);
+                    }
+
+                    @Override
+                    public boolean isObsoleteAfterEnd(Map<?, ?> message) {
+                        return dropRest && message.isEmpty();
+                    }
+
+                    @Override
+                    public boolean waitsForReplies() {
+                        return true;
+                    }
+                }, scheduler));
+    }
+
+    private static ByteBuf text(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+    }
+
+    /** Guards against memory exhaustion: a connection that sends faster than it is processed is not read any further. */
+    @Test
+    void stopsReadingWhileUnprocessedInputExceedsItsLimit() {
+        InputScheduler scheduler = new InputScheduler(() -> { });
+        EmbeddedChannel scheduled = scheduledChannel(scheduler, false);
+        scheduled.writeInbound(text("{}\n".repeat(10)));
+        assertTrue(scheduled.config().isAutoRead());
+        scheduled.writeInbound(text("{}\n".repeat(40_000)));
+        assertFalse(scheduled.config().isAutoRead());
+        assertEquals(List.of(), events);
+        while (scheduler.hasInput()) {
+            scheduler.process();
+        }
+        assertEquals(40_010, events.size());
+        assertTrue(scheduled.config().isAutoRead());
+    }
+
+    /** Guards against work for a client that has left: its requests were sent on after it had closed its connection. */
+    @Test
+    void dropsObsoleteMessagesOfConnectionThatEndedBeforeTheyWereProcessed() {
+        EmbeddedChannel scheduled = scheduledChannel(new InputScheduler(() -> { }), true);
+        scheduled.writeInbound(text("{}\n{}\n{\"op\":\"end\"}\n{}\n"));
+        scheduled.close();
+        assertEquals(List.of(Map.of("op", "end"), CloseReason.PEER_CLOSED), events);
+    }
+
+    /** Guards against memory exhaustion by a client that sends requests and does not read the replies. */
+    @Test
+    void processesNothingFurtherUntilRepliesAreRead() {
+        InputScheduler scheduler = new InputScheduler(() -> { });
+        EmbeddedChannel scheduled = scheduledChannel(scheduler, false);
+        scheduled.config().setWriteBufferWaterMark(new WriteBufferWaterMark(100, 200));
+        MessageHandler.write(scheduled, text("x".repeat(300)));
+        scheduled.writeInbound(text("{}\n"));
+        scheduler.process();
+        assertEquals(List.of(), events);
+        scheduled.flush();
+        scheduled.runPendingTasks();
+        scheduler.process();
+        assertEquals(List.of(Map.of()), events);
+    }
+
+    @Test
+    void closesConnectionWhoseRepliesAreNotReadInTime() {
+        EmbeddedChannel scheduled = scheduledChannel(new InputScheduler(() -> { }), false);
+        scheduled.config().setWriteBufferWaterMark(new WriteBufferWaterMark(100, 200));
+        MessageHandler.write(scheduled, text("x".repeat(300)));
+        scheduled.advanceTimeBy(2_900, TimeUnit.MILLISECONDS);
+        scheduled.runPendingTasks();
+        assertTrue(scheduled.isOpen());
+        scheduled.advanceTimeBy(200, TimeUnit.MILLISECONDS);
+        scheduled.runPendingTasks();
+        assertEquals(List.of(CloseReason.BACKLOG), events);
+    }
+
     /** Guards against memory exhaustion by closed connections, which the check of their last message referred to. */
     @Test
     void keepsNoTimerOfConnectionClosedWithinAMessage() {
--- a/src/test/java/wingspread/sip/SipDecoderTest.java
+++ b/src/test/java/wingspread/sip/SipDecoderTest.java
@@ -4,12 +4,19 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import wingspread.net.CloseReason;
 import wingspread.net.InvalidInputException;
+import wingspread.net.MessageHandler;
 import wingspread.testing.Fuzz;
 
 class SipDecoderTest {
@@ -70,4 +77,33 @@
         byte[] unterminated = bytes("BYE sip:a@b SIP/2.0\r\nX: " + "x".repeat(17_000));
         assertThrows(InvalidInputException.class, () -> decoder.next(unterminated, 0, unterminated.length));
     }
+
+    /** Guards against a decoder that misses the end of a head or body which it has examined in part before. */
+    @Test
+    void decodesMessagesThatArriveByteByByteThroughMessageHandler() {
+        List<SipMessage> messages = new ArrayList<>();
+        EmbeddedChannel channel = new EmbeddedChannel(new MessageHandler<>("test", new SipDecoder(),
+                new MessageHandler.Listener<SipMessage>() {
+                    @Override
+                    public void received(Channel from, SipMessage message) {
+                        messages.add(message);
+                    }
+
+                    @Override
+                    public void ended(Channel from, CloseReason reason) {
+                        // Not part of this test.
+                    }
+                }));
+        ByteBuf stream = Unpooled.buffer();
+        for (int length = 0; length < 5; length++) {
+            stream.writeBytes(SipMessage.request("BYE", "sip:x@net").with("Call-ID", "c" + length)
+                    .withBody("\r\n\r\nx".substring(0, length).getBytes(StandardCharsets.ISO_8859_1)).encode());
+            stream.writeBytes(new byte[] {'\r', '\n'});
+        }
+        while (stream.isReadable()) {
+            channel.writeInbound(stream.readRetainedSlice(1));
+        }
+        assertEquals(List.of("c0", "c1", "c2", "c3", "c4"), messages.stream().map(SipMessage::callId).toList());
+        assertEquals(List.of(0, 1, 2, 3, 4), messages.stream().map(message -> message.body().length).toList());
+    }
 }
