Advance the clock with the stop in the test of a release before its machine vanishes

Cause: the test's clock stood still from the release to the vanishing, and the stopped exchange's connections end at a moment of their own. Change: the clock is advanced by 100 ms in the task that stops the exchange, before the loop handles anything else. The assertion is unchanged.

--- a/src/test/java/wingspread/testbed/soak/ExchangeStandInTest.java
+++ b/src/test/java/wingspread/testbed/soak/ExchangeStandInTest.java
@@ -132,6 +132,8 @@
         establishCall();
         runInLoop(() -> {
             exchange.stop();
+            // Before the loop handles anything else: a connection that ends right after a release may have lost it.
+            clock.addAndGet(SECOND / 10);
             return null;
         });
         awaitMessage(message -> message.isRequest() && message.method().equals("BYE"));
