--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -58,11 +58,9 @@
     private static final int MAX_PAUSES = 4;
     /** The loop handles all I/O that is ready before it runs a task that is due after this delay. */
     private static final long ACCEPT_CHECK_DELAY_MICROS = 1_000;
-    /** Maximum remaining time taken from an offer; a larger value could overflow the deadline. */
-    private static final double MAX_REMAINING_MS = 86_400_000;
 
     private final Loop loop;
-    private final List<CallClass> classes;
+    private final OfferParser offers;
     private final Admission admission;
     private final Consumer<Event> planner;
     private final BooleanSupplier ready;
@@ -90,7 +88,7 @@
         this.reconnects = reconnects;
         this.loop = loop;
         this.releaseDelivery = new ReleaseDelivery(loop, this::write);
-        this.classes = classes;
+        this.offers = new OfferParser(classes);
         this.admission = new Admission(loop, maxConnections, FIRST_MESSAGE_TIMEOUT_MICROS, this::idle);
         this.planner = planner;
         this.ready = ready;
@@ -209,7 +207,7 @@
     /** Calls of a caller that has left are not started any more; the ends of its calls still count. */
     @Override
     public boolean isObsoleteAfterEnd(Map<?, ?> message) {
-        return !text(message, "op").equals("end");
+        return !OfferParser.text(message, "op").equals("end");
     }
 
     @Override
@@ -250,8 +248,8 @@
     public void received(Channel channel, Map<?, ?> message) throws InvalidInputException {
         admission.messageReceived(channel);
         releaseDelivery.markActive(channel);
-        String call = text(message, "call");
-        switch (text(message, "op")) {
+        String call = OfferParser.text(message, "call");
+        switch (OfferParser.text(message, "op")) {
             case "offer" -> offer(channel, call, message);
             case "end" -> {
                 int cause = message.get("why") instanceof Double d ? d.intValue() : Planner.CAUSE_NORMAL_CLEARING;
@@ -269,69 +267,21 @@
     }
 
     private void offer(Channel channel, String call, Map<?, ?> message) throws InvalidInputException {
-        Map<?, ?> with = message.get("with") instanceof Map<?, ?> map ? map : Map.of();
-        Leg leg = new Leg(call, channel);
-        int callClass = classOf(text(with, "class"));
-        Map<String, Double> extras = extras(text(with, "extras"));
-        Double remainingMs = finiteNumber(with.get("left"));
-        double width = extras.getOrDefault("width", 1.0);
-        if (callClass < 0 || remainingMs == null || remainingMs < 0 || width < 0 || !extras.containsKey("dest")
-                || call.isEmpty()) {
+        Request request;
+        try {
+            request = offers.parse(message, loop.now());
+        } catch (OfferParser.InvalidOfferException e) {
             metrics.count("answered.invalid");
             write(channel, line("end", call, "", INVALID_CAUSE, null));
             return;
         }
         // Answers to two set-ups with the same id on one connection could not be distinguished.
+        Leg leg = new Leg(call, channel);
         if (connections.get(channel).pending.putIfAbsent(call, leg) != null) {
             throw new InvalidInputException("JSON lines: duplicate id of a pending call");
         }
         releaseDelivery.callOffered(channel);
-        post(new Event.Offered(new Request(call, text(with, "class"), callClass, text(with, "key"),
-                text(message, "desc").getBytes(StandardCharsets.ISO_8859_1),
-                loop.now() + (long) (Math.min(remainingMs, MAX_REMAINING_MS) * 1_000), extras.get("dest").intValue(),
-                width, extras.getOrDefault("via", -1.0).intValue(),
-                !text(with, "retry").isEmpty(), extras.getOrDefault("transit", 0.0) > 0,
-                extras.getOrDefault("again", 0.0) > 0), leg));
-    }
-
-    private int classOf(String name) {
-        for (int i = 0; i < classes.size(); i++) {
-            if (classes.get(i).name().equals(name)) {
-                return i;
-            }
-        }
-        return -1;
-    }
-
-    private static Map<String, Double> extras(String text) {
-        Map<String, Double> out = new HashMap<>();
-        for (String part : text.split(";")) {
-            int colon = part.indexOf(':');
-            Double value = colon < 0 ? null : finiteNumber(part.substring(colon + 1));
-            if (value != null) {
-                out.put(part.substring(0, colon), value);
-            }
-        }
-        return out;
-    }
-
-    /** Returns a finite number, or null: any other value would corrupt the control module's arithmetic for good. */
-    private static Double finiteNumber(Object value) {
-        try {
-            Double parsed = value instanceof String s ? Double.valueOf(s) : value instanceof Double d ? d : null;
-            return parsed == null || !Double.isFinite(parsed) ? null : parsed;
-        } catch (NumberFormatException e) {
-            return null;
-        }
-    }
-
-    /** Returns a string or numeric field as text; empty if it is missing or of another type. */
-    private static String text(Map<?, ?> map, String name) {
-        Object value = map.get(name);
-        if (value instanceof Double d) {
-            return d == Math.rint(d) ? Long.toString(d.longValue()) : d.toString();
-        }
-        return value instanceof String s ? s : "";
+        post(new Event.Offered(request, leg));
     }
 
     // Messages to callers.
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -228,10 +228,17 @@
     }
 
     private void send(ExchangeConnection connection, Attempt attempt) {
+        SipMessage invite = messages.invite(attempt, attempt.deadline() - loop.now());
+        if (!invite.isEncodable()) {
+            metrics.count("sent.unencodable");
+            CALLS.warn("a set-up to exchange={} is not sent: a field holds control characters", exchangeNumber);
+            events.accept(new Event.AttemptAborted(attempt, Status.ERROR));
+            return;
+        }
         connection.addAttempt(attempt);
         lastUsedAt = loop.now();
         metrics.count("sent.INVITE");
-        connection.write(messages.invite(attempt, attempt.deadline() - loop.now()));
+        connection.write(invite);
     }
 
     /** Cancels an attempt that has not been answered yet. */
--- a/src/main/java/wingspread/sip/SipDecoder.java
+++ b/src/main/java/wingspread/sip/SipDecoder.java
@@ -94,6 +94,7 @@
     }
 
     private static SipMessage parseHead(byte[] bytes, int from, int to) throws InvalidInputException {
+        rejectControlCharacters(bytes, from, to);
         String[] lines = new String(bytes, from, to - from - END_OF_HEAD_BYTES, StandardCharsets.ISO_8859_1).split("\r\n");
         SipMessage startLine = parseStartLine(lines[0]);
         if (lines.length > MAX_HEAD_LINES) {
@@ -125,6 +126,20 @@
                 startLine.body());
     }
 
+    /**
+     * Rejects a head with control characters other than tabs and the two of a line end. They are not allowed there (RFC
+     * 3261, section 25.1), and a receiver that took one of them for a line end would read other headers than this one.
+     */
+    private static void rejectControlCharacters(byte[] bytes, int from, int to) throws InvalidInputException {
+        for (int i = from; i < to; i++) {
+            if (bytes[i] == '\r' && i + 1 < to && bytes[i + 1] == '\n') {
+                i++;
+            } else if (SipMessage.isForbidden((char) (bytes[i] & 0xff))) {
+                throw new InvalidInputException("SIP: control character in a message head");
+            }
+        }
+    }
+
     private static SipMessage parseStartLine(String line) throws InvalidInputException {
         if (line.startsWith("SIP/2.0 ")) {
             long status = line.length() < 11 ? -1 : SipMessage.number(line.substring(8, 11));
--- a/src/main/java/wingspread/sip/SipMessage.java
+++ b/src/main/java/wingspread/sip/SipMessage.java
@@ -25,6 +25,7 @@
             "f", "from", "t", "to", "m", "contact", "c", "content-type", "e", "content-encoding", "s", "subject",
             "k", "supported");
     private static final byte[] NO_BODY = new byte[0];
+    private static final char DELETE = 0x7f;
 
     /** A header field, with its name as received. */
     public record Header(String name, String value) { }
@@ -124,8 +125,44 @@
         return null;
     }
 
-    /** Encodes this message, with a Content-Length header added. */
+    /** Whether a character must not occur in a start line or a header: all control characters but the tab. */
+    static boolean isForbidden(char c) {
+        return c < ' ' && c != '\t' || c == DELETE;
+    }
+
+    /** Whether this message can be encoded: no text in it would be read as the end of a line, or of the message. */
+    public boolean isEncodable() {
+        return isRequest() ? isSafe(method) && isSafe(uri) && !uri.isEmpty() && uri.indexOf(' ') < 0 && headersAreSafe()
+                : isSafe(reason) && headersAreSafe();
+    }
+
+    private boolean headersAreSafe() {
+        for (Header header : headers) {
+            if (!isSafe(header.name()) || !isSafe(header.value())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isSafe(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (isForbidden(text.charAt(i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Encodes this message, with a Content-Length header added.
+     *
+     * @throws IllegalStateException if the message is not {@link #isEncodable}
+     */
     public ByteBuf encode() {
+        if (!isEncodable()) {
+            throw new IllegalStateException("a message with control characters must not be sent");
+        }
         StringBuilder out = new StringBuilder(256);
         if (isRequest()) {
             out.append(method).append(' ').append(uri).append(" SIP/2.0\r\n");
--- a/src/test/java/wingspread/sip/SipDecoderTest.java
+++ b/src/test/java/wingspread/sip/SipDecoderTest.java
@@ -13,8 +13,12 @@
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.StringLength;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import wingspread.net.CloseReason;
+import wingspread.net.FrameDecoder;
 import wingspread.net.InvalidInputException;
 import wingspread.net.MessageHandler;
 import wingspread.testing.Fuzz;
@@ -106,4 +110,31 @@
         assertEquals(List.of("c0", "c1", "c2", "c3", "c4"), messages.stream().map(SipMessage::callId).toList());
         assertEquals(List.of(0, 1, 2, 3, 4), messages.stream().map(message -> message.body().length).toList());
     }
+
+    /** Guards against forged messages: a receiver may take a lone line feed, or a NUL, for the end of a header. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r", "\0", "\u007f", "\u0001"})
+    void rejectsControlCharactersInHead(String character) {
+        String message = "BYE sip:x@net SIP/2.0\r\nCall-ID: a" + character + "b\r\nContent-Length: 0\r\n\r\n";
+        byte[] bytes = message.getBytes(StandardCharsets.ISO_8859_1);
+        assertThrows(InvalidInputException.class, () -> decoder.next(bytes, 0, bytes.length));
+        assertThrows(InvalidInputException.class, () -> SipDecoder.decodeDatagram(bytes));
+    }
+
+    /** Whatever text a message holds, it is either not encoded or read as this one message with the same fields. */
+    @Property(tries = 2_000, seed = "13")
+    void encodedMessageIsReadAsOneMessageWithTheSameFields(@ForAll @StringLength(max = 12) String text)
+            throws InvalidInputException {
+        String bytes = new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+        SipMessage message = SipMessage.request("INVITE", "sip:" + bytes + "@net").with("Call-ID", bytes);
+        if (!message.isEncodable()) {
+            assertThrows(IllegalStateException.class, message::encode);
+            return;
+        }
+        byte[] encoded = bytes(message);
+        FrameDecoder.DecodeResult<SipMessage> decoded = decoder.next(encoded, 0, encoded.length);
+        assertEquals(encoded.length, decoded.consumedBytes());
+        assertEquals(message.uri(), decoded.message().uri());
+        assertEquals(bytes.strip(), decoded.message().callId());
+    }
 }
