Count the circuits of calls by the settings, not by what callers name

Cause: Planner.checkForLostCalls held an exchange's first report against the sum of the widths that callers had named.

--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -515,13 +515,14 @@
 
     /**
      * Compares the first report of an exchange on a connection with the calls established through it, after the time
-     * in which it sends its pending releases. If it holds too few circuits for them, it has lost the calls.
+     * in which it sends its pending releases. If it holds too few circuits for them, it has lost the calls. How many
+     * circuits a call takes is taken from the settings, never from its caller.
      */
     private void checkForLostCalls(Event.Reported firstReport) {
         Predicate<Attempt> establishedBefore =
                 attempt -> attempt.establishedAt() < firstReport.connectedAt() - MAX_REPORT_AGE_MICROS;
         double width = establishedCallsThrough(firstReport.exchange(), establishedBefore).stream()
-                .mapToDouble(state -> state.request.width()).sum();
+                .mapToDouble(state -> settings.classes().get(state.request.callClass()).width()).sum();
         if (ExchangeLiveness.hasLostCalls(firstReport.report(), width)) {
             endCallsOfExchange(firstReport.exchange(), EndReason.EXCHANGE_LOST_CALLS, 0, establishedBefore);
         }
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -147,6 +147,10 @@
         return new Report(circuits, 20, Double.NaN, 0, Double.NaN, Double.NaN, 100, Double.NaN);
     }
 
+    private static Report reportOfLargeGroup(double freeCircuits) {
+        return new Report(freeCircuits, 100, Double.NaN, 0, Double.NaN, Double.NaN, 100, Double.NaN);
+    }
+
     private void process(Event event) {
         planner.post(event);
         planner.turn();
@@ -452,6 +456,20 @@
         assertRecorded("release b 41", "ended 41");
     }
 
+    /** Guards against a caller whose figure for its own call cuts the calls of all others on a live exchange. */
+    @Test
+    void keepsCallsOfLiveExchangeWhateverWidthACallerNames() {
+        process(new Event.Reported(1, reportOfLargeGroup(100)));
+        process(new Event.Offered(new Request("a", "plain", 0, "ab", DESCRIPTION, now + TIME_LEFT_MICROS, 1, 57, -1,
+                false, false, false), endpoint));
+        process(new Event.Answered(1, "a", DESCRIPTION));
+        assertRecorded("invite a 1", "established 6");
+        advance(200_000);
+        process(new Event.Reported(1, reportOfLargeGroup(99), now));
+        advanceInSteps(600_000);
+        assertRecorded();
+    }
+
     @Test
     void endsCallsOnUnresponsiveExchangeAtHandOver() {
         offer("a");
