Fail a set-up whose id an exchange may have run already

Callers saw: a call that ran twice when its client closed its connection during the set-up and sent the same id again on another one. Cause: callOffered compared an id with the open calls alone; a call ends with the cancellation of its attempt, and a second offer was a new call, sent at once. Change: EndedCallIds keeps the ids of ended calls that an exchange may have run, and an offer with one fails like one with the id of an open call. Calls of which nothing was sent, as after a crossed close, are taken again. Ruled out by reading: a second copy inside one turn, which REPEATED_ID caught before. Result: PlannerTest.doesNotSendAnIdAgainThatAnExchangeMayHaveRun failed before (a second invite in the same moment) and passes.

--- a/src/main/java/wingspread/core/CallLog.java
+++ b/src/main/java/wingspread/core/CallLog.java
@@ -20,7 +20,7 @@
         DECIDED,
         /** The maximum number of open calls, or of bytes kept for them, is reached. */
         TOO_MANY_CALLS,
-        /** Another open call has the same id. */
+        /** Another call has the same id, which is open or which an exchange may have run. */
         REPEATED_ID,
         /** The storm gate refused the redial. */
         STORM,
--- a/src/main/java/wingspread/core/EndedCallIds.java
+++ b/src/main/java/wingspread/core/EndedCallIds.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 
-/** The ids of the calls that ended most recently. The oldest are removed at a maximum number or total length of ids. */
+/** The ids of the calls that ended most recently and that an exchange may have run. The oldest are removed at a maximum number or total length of ids. */
 final class EndedCallIds {
     private static final int MAX_IDS = 8_192;
     /** Several times the length of {@value #MAX_IDS} ids of 16 digits; a caller may use longer ones. */
@@ -27,6 +27,11 @@
         return true;
     }
 
+    /** Whether the id is present. */
+    boolean contains(String id) {
+        return ids.contains(id);
+    }
+
     /** Returns the number of ids. */
     int size() {
         return ids.size();
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -299,7 +299,8 @@
         log.received(request, now);
         // A set-up with the id of an open call must not start a second attempt: it fails, whatever else it requests,
         // and the first one continues.
-        if (byId.containsKey(request.id())) {
+        // Nor must one with the id of a call that an exchange may have run: its caller left and sends it again.
+        if (byId.containsKey(request.id()) || endedCallIds.contains(request.id())) {
             metrics.count("taken.repeats");
             log.answered(request.id(), "failed", AnswerReason.REPEATED_ID, 0);
             counters.count(request.callClass(), Answer.FAILED);
@@ -426,6 +427,7 @@
             return;
         }
         attempt.establish(now);
+        state.mayHaveRun = true;
         exchangeMonitor.callEstablished(now, attempt.exchange());
         log.established(attempt, now);
         control.onCallEstablished(now, state.callNumber, attempt.index(), attempt.exchange(), now - attempt.sentAt());
@@ -564,10 +566,15 @@
         metrics.count("ended." + status + (cause == Cause.NONE ? "" : "." + cause));
         log.attemptEnded(attempt, now, status, cause);
         CallState state = byNumber.get(attempt.callNumber());
+        state.mayHaveRun |= !provesNothingRan(status);
         reportOutcome(now, state, attempt, status, cause, report);
         removeIfDone(state);
     }
 
+    private static boolean provesNothingRan(Status status) {
+        return status == Status.FULL || status == Status.MOOT || status == Status.CONNECT_FAILED;
+    }
+
     private void reportOutcome(long now, CallState state, Attempt attempt, Status status, Cause cause, Report report) {
         control.onOutcome(now, new Outcome(state.callNumber, attempt.index(), state.isAnswered(), attempt.exchange(),
                 now - attempt.sentAt(), status, cause, 0, report));
@@ -591,7 +598,9 @@
     private void removeIfDone(CallState state) {
         if (state.isAnswered() && !state.sendRequested && !state.hasPendingAttempt() && !state.isEstablished()) {
             byId.remove(state.request.id());
-            endedCallIds.add(state.request.id());
+            if (state.mayHaveRun) {
+                endedCallIds.add(state.request.id());
+            }
             if (byNumber.remove(state.callNumber) != null) {
                 requestBytes -= state.request.sizeBytes();
             }
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -456,6 +456,33 @@
         assertRecorded("release b 41", "ended 41");
     }
 
+    /**
+     * Guards against a call that runs twice: its client left while an exchange worked on it, and sent it again under the
+     * same id on another connection.
+     */
+    @Test
+    void doesNotSendAnIdAgainThatAnExchangeMayHaveRun() {
+        offer("a");
+        process(new Event.CallerAbandoned("a", endpoint));
+        assertRecorded("invite a 1", "abandoned", "cancel a");
+        offer("a");
+        assertRecorded("failed");
+        advance(4_000_000);
+        offer("a");
+        assertRecorded("failed");
+    }
+
+    /** A caller sends a set-up again that crossed the close of its connection. */
+    @Test
+    void sendsAnIdAgainThatNoExchangeHasRun() {
+        planner.post(new Event.Offered(new Request("a", "plain", 0, "ab", DESCRIPTION, now + TIME_LEFT_MICROS, 1, 1, -1,
+                false, false, false), endpoint));
+        process(new Event.CallerAbandoned("a", endpoint));
+        assertRecorded("abandoned");
+        offer("a");
+        assertRecorded("invite a 1");
+    }
+
     /** Guards against a caller whose figure for its own call cuts the calls of all others on a live exchange. */
     @Test
     void keepsCallsOfLiveExchangeWhateverWidthACallerNames() {
