Use no connection to an address that an exchange has left

Callers saw: set-ups that went to whoever had the former address of an exchange. Cause: a connect under way as the directory gave an exchange another address was used as its connection, a message from the former address made a connection there usable again, and a connect of an exchange that left was kept though it reached the successor at the address. Change: a connect remembers the address it was begun for and is dropped if that is no longer the exchange's; a connection to a former address is never sent on.

--- a/src/main/java/wingspread/link/ExchangeConnection.java
+++ b/src/main/java/wingspread/link/ExchangeConnection.java
@@ -31,6 +31,8 @@
     private boolean hasReceived;
     private boolean unresponsive;
     private boolean halfClosed;
+    /** Whether it leads to an address that the exchange has left, and that may belong to another one by now. */
+    private boolean atFormerAddress;
 
     ExchangeConnection(Loop loop, Channel channel) {
         this.loop = loop;
@@ -51,9 +53,12 @@
 
     // State.
 
-    /** Whether messages may be sent: the connection is open in both directions and not known to be unresponsive. */
+    /**
+     * Whether messages may be sent: the connection is open in both directions, leads to the present address of the
+     * exchange and is not known to be unresponsive.
+     */
     boolean isUsable() {
-        return !unresponsive && !halfClosed && channel.isActive();
+        return !unresponsive && !atFormerAddress && !halfClosed && channel.isActive();
     }
 
     /** Whether it was closed for sending and is only read. */
@@ -75,8 +80,14 @@
         return hasReceived;
     }
 
-    boolean isUnresponsive() {
-        return unresponsive;
+    /** Whether it is to be closed once there is another one. */
+    boolean isToBeReplaced() {
+        return unresponsive || atFormerAddress;
+    }
+
+    /** Ends the use of a connection to an address that the exchange has left. */
+    void markAtFormerAddress() {
+        atFormerAddress = true;
     }
 
     void markUnresponsive() {
--- a/src/main/java/wingspread/link/Link.java
+++ b/src/main/java/wingspread/link/Link.java
@@ -109,7 +109,7 @@
         if (!endpoint.equals(listing.endpoint())) {
             // The exchange has a new address; the old one may already belong to another exchange.
             endpoint = listing.endpoint();
-            connections.values().forEach(ExchangeConnection::markUnresponsive);
+            connections.values().forEach(ExchangeConnection::markAtFormerAddress);
         }
         if (newestUsable() == null) {
             connect();
@@ -179,6 +179,11 @@
         return endpoint.equals(other.endpoint) || uid.equals(other.uid);
     }
 
+    /** Returns the address of the exchange. */
+    InetSocketAddress endpoint() {
+        return endpoint;
+    }
+
     /** Whether the exchange has left the directory. */
     boolean isRetired() {
         return retired;
@@ -335,10 +340,11 @@
         }
         connecting = true;
         long startedAt = loop.now();
+        InetSocketAddress target = endpoint;
         metrics.count("sent.connects");
         openConnection(connectTimeoutMicros, future -> {
             connecting = false;
-            onConnectDone(future, startedAt);
+            onConnectDone(future, startedAt, target);
         });
     }
 
@@ -366,10 +372,11 @@
         }
         pendingChecks++;
         long startedAt = loop.now();
+        InetSocketAddress target = endpoint;
         metrics.count("sent.checks");
         openConnection(Math.max(connectTimeoutMicros, MIN_CHECK_CONNECT_TIMEOUT_MICROS), future -> {
             pendingChecks--;
-            onConnectDone(future, startedAt);
+            onConnectDone(future, startedAt, target);
         });
         return true;
     }
@@ -412,20 +419,18 @@
         scheduleReconnect();
     }
 
-    private void onConnectDone(ChannelFuture future, long startedAt) {
-        if (!future.isSuccess()) {
-            onConnectFailed(future.cause());
+    private void onConnectDone(ChannelFuture future, long startedAt, InetSocketAddress target) {
+        if (stopped || leadsElsewhere(target)) {
+            discard(future, target);
             return;
         }
-        if (stopped) {
-            links.releaseConnection();
-            future.channel().close();
-            removeIfDone();
+        if (!future.isSuccess()) {
+            onConnectFailed(future.cause());
             return;
         }
         connectDurationMicros = loop.now() - startedAt;
         for (ExchangeConnection old : List.copyOf(connections.values())) {
-            if (old.isUnresponsive()) {
+            if (old.isToBeReplaced()) {
                 halfClose(old, CloseReason.SILENT);
             }
         }
@@ -438,6 +443,24 @@
         sendWaiting(connection);
     }
 
+    /** Whether a connection to this address leads to another exchange, although the connect was begun for this one. */
+    private boolean leadsElsewhere(InetSocketAddress target) {
+        return !target.equals(endpoint) || retired && links.hasSuccessorAt(target);
+    }
+
+    /** Closes a connection that is of no use; a failed connect to a former address tells nothing of the exchange. */
+    private void discard(ChannelFuture future, InetSocketAddress target) {
+        links.releaseConnection();
+        future.channel().close();
+        if (!stopped) {
+            LOG.info("exchange {} {} is no longer at {}, a connect to it is dropped", exchangeNumber, uid, target);
+        }
+        removeIfDone();
+        if (newestUsable() == null) {
+            connect();
+        }
+    }
+
     /** Ends the use of a connection, which is read until the exchange closes it. */
     private void halfClose(ExchangeConnection connection, CloseReason reason) {
         abortAttempts(connection);
--- a/src/main/java/wingspread/link/Links.java
+++ b/src/main/java/wingspread/link/Links.java
@@ -1,5 +1,6 @@
 package wingspread.link;
 
+import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -146,6 +147,11 @@
                 .map(Map.Entry::getKey).collect(Collectors.toUnmodifiableSet());
     }
 
+    /** Whether a listed exchange has this address. */
+    boolean hasSuccessorAt(InetSocketAddress address) {
+        return links.values().stream().anyMatch(link -> !link.isRetired() && link.endpoint().equals(address));
+    }
+
     /** Removes a retired link that has no connection left. */
     void remove(long exchange) {
         links.remove(exchange);
--- a/src/test/java/wingspread/link/LinksTest.java
+++ b/src/test/java/wingspread/link/LinksTest.java
@@ -565,4 +565,75 @@
             assertTrue(connection.awaitClose());
         }
     }
+
+    private static DirectoryEntry secondExchangeAt(ServerSocket address) {
+        return new DirectoryEntry("s-2", (InetSocketAddress) address.getLocalSocketAddress(),
+                new Exchange(2, 0, 0, 2, Readiness.READY, 1, 0));
+    }
+
+    private static Attempt attemptAtSecondExchange(long now) {
+        return AttemptFixture.attempt("b", 2, now, now + 1_500_000);
+    }
+
+    /** Guards against work at the wrong exchange: a connect that was under way as its exchange got another address. */
+    @Test
+    void closesConnectionToFormerAddressThatIsEstablishedLate() throws Exception {
+        try (ServerSocket former = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+                ServerSocket present = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            former.setSoTimeout(10_000);
+            present.setSoTimeout(10_000);
+            Attempt attempt = attemptAtSecondExchange(clock.get());
+            loop.execute(() -> {
+                links.update(List.of(secondExchangeAt(former)));
+                links.update(List.of(secondExchangeAt(present)));
+                links.invite(attempt);
+            });
+            try (Wire<SipMessage> atFormer = new Wire<>(former.accept(), new SipDecoder());
+                    Wire<SipMessage> atPresent = new Wire<>(present.accept(), new SipDecoder())) {
+                assertEquals("b", atPresent.next().callId());
+                assertTrue(atFormer.awaitClose());
+            }
+        }
+    }
+
+    /** Guards against work at the wrong exchange: a message from the former address made its connection usable again. */
+    @Test
+    void sendsNothingNewToFormerAddressWhateverItSends() throws Exception {
+        try (ServerSocket former = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            former.setSoTimeout(10_000);
+            loop.execute(() -> links.update(List.of(secondExchangeAt(former))));
+            Wire<SipMessage> atFormer = new Wire<>(former.accept(), new SipDecoder());
+            awaitEstablished(atFormer);
+            ServerSocket closed = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+            DirectoryEntry moved = secondExchangeAt(closed);
+            closed.close();
+            loop.execute(() -> links.update(List.of(moved)));
+            awaitEstablished(atFormer);
+            Attempt attempt = attemptAtSecondExchange(clock.get());
+            loop.execute(() -> links.invite(attempt));
+            assertEquals(new Event.AttemptAborted(attempt, Status.CONNECT_FAILED), nextEvent());
+        }
+    }
+
+    /** Guards against a new process that is taken for the old one: its address had been that of an exchange that left. */
+    @Test
+    void closesConnectionOfRemovedExchangeThatReachesItsSuccessorAtTheSameAddress() throws Exception {
+        loop.execute(links::close);
+        assertTrue(accept().awaitClose());
+        links = new Links(loop, 500_000, 0, () -> maxConnections, ReconnectParameters.OFF, new SplittableRandom(1),
+                events::add, metrics, 60_000_000);
+        updateDirectory(Readiness.READY);
+        awaitEstablished(accept());
+        loop.execute(() -> {
+            links.checkLiveness(1);
+            InetSocketAddress endpoint = (InetSocketAddress) listener.getLocalSocketAddress();
+            links.update(List.of(
+                    new DirectoryEntry("s-1", endpoint, new Exchange(1, 0, 0, 1, Readiness.GONE, 1, 0)),
+                    new DirectoryEntry("s-2", endpoint, new Exchange(2, 0, 0, 2, Readiness.READY, 1, 0))));
+        });
+        try (Wire<SipMessage> late = accept(); Wire<SipMessage> successor = accept()) {
+            assertTrue(late.awaitClose());
+            awaitEstablished(successor);
+        }
+    }
 }
