Release the calls on an exchange that leaves the directory toward it too

Callers and exchanges saw: calls set up at a process that had taken an address, while it was still taken for the exchange before it, ended for their callers as that exchange was removed, and stayed standing at the process.

--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -480,7 +480,7 @@
         control.onExchangeList(now, event.kind(), event.entries());
         for (Exchange entry : event.entries()) {
             if (entry.readiness() == Readiness.GONE) {
-                endCallsSentBefore(now, entry.address(), Long.MAX_VALUE, EndReason.EXCHANGE_REMOVED);
+                endCallsOfRemovedExchange(now, entry.address());
                 startTimes.remove(entry.address());
                 if (stormGate != null) {
                     stormGate.exchangeRemoved(entry.address());
@@ -505,6 +505,18 @@
         }
     }
 
+    /**
+     * Ends the calls on an exchange that has left the directory, also toward it: a process that took its address before
+     * the directory told of the change may have set some of them up, and would keep their circuits.
+     */
+    private void endCallsOfRemovedExchange(long now, long exchange) {
+        for (CallState state : establishedCallsThrough(exchange, attempt -> true)) {
+            exchanges.release(exchange, state.request.id(), CAUSE_TEMPORARY_FAILURE);
+            endEstablishedCall(now, state, Status.RESET, Report.EMPTY, CAUSE_TEMPORARY_FAILURE,
+                    EndReason.EXCHANGE_REMOVED);
+        }
+    }
+
     private List<CallState> establishedCallsThrough(long exchange, Predicate<Attempt> condition) {
         return byId.values().stream().filter(state -> state.isEstablished()
                 && state.lastAttempt().exchange() == exchange && condition.test(state.lastAttempt())).toList();
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -526,6 +526,19 @@
         assertRecorded();
     }
 
+    /**
+     * Guards against a call that is left standing at a process which took the address of the exchange that its caller's
+     * call was meant for, before the directory told of the change.
+     */
+    @Test
+    void releasesCallsTowardExchangeThatHasLeftTheDirectory() {
+        offer("a");
+        process(new Event.Answered(1, "a", DESCRIPTION));
+        recorded.clear();
+        process(new Event.Listed(ListKind.DELTA, List.of(exchange(1, Readiness.GONE, 0))));
+        assertRecorded("release a 41", "ended 41");
+    }
+
     @Test
     void cutsOnlyCallsSentBeforeExchangeRestart() {
         offer("a");
