Give an address in a list cut short to the exchange that started last

Callers saw: calls for an exchange that had gone went to its successor. Cause: a truncated list removes nothing, so that it named the successor at an address beside the former exchange; an older one, cut before its serial number, brought the former one back to the address. Change: an exchange whose address passes to one that started later is removed, and one whose address a later one holds is not added. Without times of start nothing is inferred.

--- a/src/main/java/wingspread/directory/Roster.java
+++ b/src/main/java/wingspread/directory/Roster.java
@@ -20,7 +20,7 @@
 /**
  * The list of exchanges, to which the responses of the directory are applied. Exchanges are identified by their uid,
  * since an address may pass from one exchange to another; each uid is assigned a local number. A truncated response
- * adds and changes exchanges but removes none. An SRV record whose address or attributes are missing keeps the values
+ * adds and changes exchanges but removes none, except for one whose address has passed to an exchange that it names. An SRV record whose address or attributes are missing keeps the values
  * last known for the exchange, or is skipped until they have been queried. Free of I/O.
  */
 final class Roster {
@@ -152,12 +152,15 @@
                 DirectoryEntry entry = entry(uid, srv, hosts);
                 if (entry == null) {
                     incompleteHosts.add(srv.target());
-                } else if (!entry.sameAs(entries.get(uid)) && (hasSerial || !resumesFromDraining(entry))) {
+                } else if (!entry.sameAs(entries.get(uid)) && (hasSerial || !resumesFromDraining(entry))
+                        && !isAddressOfLaterExchange(entry)) {
                     changes.add(entry);
                 }
             }
         }
-        if (!message.truncated()) {
+        if (message.truncated()) {
+            changes.addAll(removedPredecessors(changes, listedUids));
+        } else {
             for (DirectoryEntry old : entries.values()) {
                 if (!listedUids.contains(old.uid())) {
                     changes.add(old.asRemoved());
@@ -171,6 +174,27 @@
         return new Update(changes, incompleteHosts);
     }
 
+    /** Whether an exchange that started later has the address of an exchange that is not listed yet. */
+    private boolean isAddressOfLaterExchange(DirectoryEntry entry) {
+        return !entries.containsKey(entry.uid())
+                && entries.values().stream().anyMatch(other -> isSuccessor(other, entry));
+    }
+
+    /**
+     * Returns as removed the exchanges that a truncated list does not name, and whose address belongs by it to another
+     * exchange that started later: two exchanges never have one address at a time.
+     */
+    private List<DirectoryEntry> removedPredecessors(List<DirectoryEntry> changes, Set<String> listedUids) {
+        return entries.values().stream().filter(old -> !listedUids.contains(old.uid()))
+                .filter(old -> changes.stream().anyMatch(entry -> isSuccessor(entry, old)))
+                .map(DirectoryEntry::asRemoved).toList();
+    }
+
+    private static boolean isSuccessor(DirectoryEntry entry, DirectoryEntry earlier) {
+        return entry.endpoint().equals(earlier.endpoint()) && !entry.uid().equals(earlier.uid())
+                && entry.exchange().upSince() > earlier.exchange().upSince();
+    }
+
     private boolean resumesFromDraining(DirectoryEntry entry) {
         DirectoryEntry previous = entries.get(entry.uid());
         return previous != null && previous.exchange().readiness() == Readiness.DRAINING
--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -247,6 +247,25 @@
         assertEquals(List.of(), states(roster.applyResponse(list(2, false))));
     }
 
+    private static DnsMessage.Text startedAt(String uid, long milliseconds) {
+        return new DnsMessage.Text(uid + ".east.hosts", List.of("kind=std", "cell=3", "started=" + milliseconds));
+    }
+
+    /**
+     * Guards against work at the wrong exchange: a truncated list names the successor at an address and not that the
+     * former exchange there has gone, and calls to the former went to the successor.
+     */
+    @Test
+    void removesExchangeWhoseAddressHasPassedToALaterOneInTruncatedList() throws InvalidInputException {
+        roster.applyResponse(list(1, false, srv("a", 0), address("a"), attributes("a")));
+        assertEquals(List.of("b 3 READY", "a 2 GONE"),
+                states(roster.applyResponse(list(2, true, srv("b", 0), address("b"), startedAt("b", 8)))));
+        // An older list, cut short before its serial number, does not bring the former one back to that address.
+        assertEquals(List.of(), states(roster.applyResponse(new DnsMessage(99, 0, true, DnsMessage.SRV,
+                List.of(srv("a", 0), address("a"), attributes("a"))))));
+        assertEquals(List.of("b"), roster.entries().stream().map(DirectoryEntry::uid).toList());
+    }
+
     /**
      * The drain rule: no call is sent to a draining exchange. A truncated list that was overtaken by a newer one must
      * not make the exchange ready again.
