--- a/src/main/java/wingspread/core/CallLog.java
+++ b/src/main/java/wingspread/core/CallLog.java
@@ -113,7 +113,8 @@
 
     /** Logs that a call on an unresponsive exchange is kept at the exit, because no caller is connected. */
     void leftToNextProcess(String call, long exchange) {
-        LOG.info("{} left to the next process: exchange={} is unresponsive, and no caller is connected", call, exchange);
+        LOG.info("{} left to the next process: exchange={} is unresponsive, and no caller is connected", call,
+                exchange);
     }
 
     /** Logs that an exchange counts as down; a line for each of its calls follows. */
--- a/src/main/java/wingspread/core/CallState.java
+++ b/src/main/java/wingspread/core/CallState.java
@@ -18,7 +18,9 @@
     /** The timers that concern the call until it has its final answer. */
     private final List<Deadlines.Timer> timers = new ArrayList<>(2);
     private boolean answered;
-    /** Whether an exchange may have run the call: an attempt was answered, or ended in a way that does not exclude it. */
+    /**
+     * Whether an exchange may have run the call: an attempt was answered, or ended in a way that does not exclude it.
+     */
     boolean mayHaveRun;
     /** Whether the call control has requested a set-up that has not been sent yet. */
     boolean sendRequested;
--- a/src/main/java/wingspread/core/EndedCallIds.java
+++ b/src/main/java/wingspread/core/EndedCallIds.java
@@ -4,7 +4,10 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 
-/** The ids of the calls that ended most recently and that an exchange may have run. The oldest are removed at a maximum number or total length of ids. */
+/**
+ * The ids of the calls that ended most recently and that an exchange may have run. The oldest are removed at a maximum
+ * number or total length of ids.
+ */
 final class EndedCallIds {
     private static final int MAX_IDS = 8_192;
     /** Several times the length of {@value #MAX_IDS} ids of 16 digits; a caller may use longer ones. */
--- a/src/main/java/wingspread/directory/Roster.java
+++ b/src/main/java/wingspread/directory/Roster.java
@@ -20,8 +20,9 @@
 /**
  * The list of exchanges, to which the responses of the directory are applied. Exchanges are identified by their uid,
  * since an address may pass from one exchange to another; each uid is assigned a local number. A truncated response
- * adds and changes exchanges but removes none, except for one whose address has passed to an exchange that it names. An SRV record whose address or attributes are missing keeps the values
- * last known for the exchange, or is skipped until they have been queried. Free of I/O.
+ * adds and changes exchanges but removes none, except for one whose address has passed to an exchange that it names. An
+ * SRV record whose address or attributes are missing keeps the values last known for the exchange, or is skipped until
+ * they have been queried. Free of I/O.
  */
 final class Roster {
     /** Maximum number of individually queried hosts that are kept; the oldest entry is evicted. */
--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -126,7 +126,9 @@
         return bound;
     }
 
-    /** Reads also after less than a full buffer, so that a client's close is known before its messages are processed. */
+    /**
+     * Reads also after less than a full buffer, so that a client's close is known before its messages are processed.
+     */
     private static RecvByteBufAllocator readsUntilEnd() {
         return new FixedRecvByteBufAllocator(MessageHandler.READ_BYTES).respectMaybeMoreData(false)
                 .maxMessagesPerRead(MAX_READS_PER_ITERATION);
--- a/src/main/java/wingspread/net/FrameDecoder.java
+++ b/src/main/java/wingspread/net/FrameDecoder.java
@@ -34,9 +34,9 @@
     DecodeResult<M> next(byte[] bytes, int from, int to) throws InvalidInputException;
 
     /**
-     * Decodes the next message like {@link #next(byte[], int, int)}, where an earlier call has found no complete message
-     * in the first of these bytes. A decoder that need not examine those again takes a time proportional to the length
-     * of a message that arrives in small pieces.
+     * Decodes the next message like {@link #next(byte[], int, int)}, where an earlier call has found no complete
+     * message in the first of these bytes. A decoder that need not examine those again takes a time proportional to the
+     * length of a message that arrives in small pieces.
      *
      * @param examinedTo index after the last byte that was examined before
      */
--- a/src/main/java/wingspread/net/Loop.java
+++ b/src/main/java/wingspread/net/Loop.java
@@ -15,7 +15,8 @@
 
 /**
  * The single event loop of the process. Each iteration first reads pending input; then a turn processes a limited part
- * of it in the order of the {@link InputScheduler}, the workers run, and each channel that they wrote to is flushed once.
+ * of it in the order of the {@link InputScheduler}, the workers run, and each channel that they wrote to is flushed
+ * once.
  */
 public final class Loop {
     private final NioEventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory("loop"));
--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -29,8 +29,8 @@
     /** Unsent bytes above which a connection is closed because the peer does not read. */
     private static final long MAX_UNSENT_BYTES = 1 << 20;
     /**
-     * Unprocessed bytes from which on a connection is not read, unless they are an incomplete message. Only a connection
-     * that is read ahead of its processing shows that its peer has left.
+     * Unprocessed bytes from which on a connection is not read, unless they are an incomplete message. Only a
+     * connection that is read ahead of its processing shows that its peer has left.
      */
     public static final int MAX_READ_AHEAD_BYTES = 1 << 20;
     /** Initial size of the buffer, to which a larger one returns when it is empty. */
@@ -73,9 +73,9 @@
         }
 
         /**
-         * Whether the peer is a client, which may send anything at any rate. The messages of a client wait while it does
-         * not read its replies, and those that are left when its connection ends are delivered after {@link #ended}, in
-         * the turns of the {@link InputScheduler}; those of other peers are delivered before it.
+         * Whether the peer is a client, which may send anything at any rate. The messages of a client wait while it
+         * does not read its replies, and those that are left when its connection ends are delivered after
+         * {@link #ended}, in the turns of the {@link InputScheduler}; those of other peers are delivered before it.
          */
         default boolean isPeerClient() {
             return false;
--- a/src/main/java/wingspread/sip/SipDecoder.java
+++ b/src/main/java/wingspread/sip/SipDecoder.java
@@ -95,7 +95,8 @@
 
     private static SipMessage parseHead(byte[] bytes, int from, int to) throws InvalidInputException {
         rejectControlCharacters(bytes, from, to);
-        String[] lines = new String(bytes, from, to - from - END_OF_HEAD_BYTES, StandardCharsets.ISO_8859_1).split("\r\n");
+        int length = to - from - END_OF_HEAD_BYTES;
+        String[] lines = new String(bytes, from, length, StandardCharsets.ISO_8859_1).split("\r\n");
         SipMessage startLine = parseStartLine(lines[0]);
         if (lines.length > MAX_HEAD_LINES) {
             throw new InvalidInputException("SIP: more than " + MAX_HEAD_LINES + " lines in a message head");
--- a/src/main/java/wingspread/testbed/soak/BadCallers.java
+++ b/src/main/java/wingspread/testbed/soak/BadCallers.java
@@ -8,12 +8,12 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
@@ -36,8 +36,69 @@
             "{\"op\":\"end\",\"call\":\"ffffffffffffffff\",\"with\":{},\"why\":-9}\n", "x".repeat(17_000),
             "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "{\"op\":\"offer\",\"call\":\"3\",");
 
+    /** Set-ups that are invalid by one field; each takes an id, and a text that an exchange would read as a message. */
+    private static final List<String> FORGERIES = List.of(
+            "{\"op\":\"offer\",\"call\":\"%s\",\"with\":{\"class\":\"c0\",\"left\":\"900\",\"key\":\"1@net%s\","
+                    + "\"extras\":\"dest:1;width:1;via:-1\"},\"desc\":\"\"}\n",
+            "{\"op\":\"offer\",\"call\":\"%s%s\",\"with\":{\"class\":\"c0\",\"left\":\"900\",\"key\":\"1\","
+                    + "\"extras\":\"dest:1;width:1;via:-1\"},\"desc\":\"\"}\n",
+            "{\"op\":\"offer\",\"call\":\"%s\",\"with\":{\"class\":\"c0\",\"left\":\"900\",\"key\":\"1\","
+                    + "\"extras\":\"dest:1;width:57;via:-1\"},\"desc\":\"%s\"}\n",
+            "{\"op\":\"offer\",\"call\":\"%s\",\"with\":{\"class\":\"c0\",\"left\":\"900\",\"key\":\"1\","
+                    + "\"extras\":\"dest:1;width:NaN;via:-1\"},\"desc\":\"%s\"}\n");
+    private static final String FORGED_MESSAGE = " SIP/2.0\\r\\nCall-ID: %1$s\\r\\nCSeq: 1 INVITE\\r\\n"
+            + "Content-Length: 0\\r\\n\\r\\nINVITE sip:1@net SIP/2.0\\r\\nCall-ID: %1$s\\r\\nCSeq: 1 INVITE\\r\\n"
+            + "Content-Length: 0\\r\\n\\r\\n";
+    private static final int BURST_REQUESTS = 300;
+    private static final int BURST_PADDING_CHARS = 1_000;
+    /** No exchange has this number, so that a set-up for it is refused. */
+    private static final int UNKNOWN_PLACE = 60_000;
+
     private BadCallers() { }
 
+    private static String newId(SplittableRandom random) {
+        return String.format(Locale.ROOT, "%016x", random.nextLong());
+    }
+
+    /** Opens a connection and sends many large requests at once, none of which an exchange can run. */
+    static void sendBurst(Loop loop, int port, SplittableRandom random, TrialLog log, String party) {
+        StringBuilder requests = new StringBuilder();
+        String description = "x".repeat(BURST_PADDING_CHARS);
+        for (int i = 0; i < BURST_REQUESTS; i++) {
+            requests.append(String.format(Locale.ROOT, "{\"op\":\"offer\",\"call\":\"%s\",\"with\":{\"class\":\"c0\","
+                    + "\"left\":\"900\",\"key\":\"1\",\"extras\":\"dest:%d;width:1;via:-1\"},\"desc\":\"%s\"}\n",
+                    newId(random), UNKNOWN_PLACE, description));
+        }
+        sendAndHold(loop, port, requests.toString(), log, party, call -> { });
+    }
+
+    /**
+     * Opens a connection and sends a set-up that must not be accepted, nor lead to any message to an exchange.
+     *
+     * @param accepted receives what the softswitch sends if it accepts the call
+     */
+    static void sendForgery(Loop loop, int port, SplittableRandom random, TrialLog log, String party,
+            Consumer<String> accepted) {
+        String message = String.format(FORGED_MESSAGE, newId(random));
+        String forgery = String.format(FORGERIES.get(random.nextInt(FORGERIES.size())), newId(random), message);
+        connect(loop, port, new ResponseReader(log, party, call -> { }, accepted), channel -> {
+            channel.writeAndFlush(Unpooled.wrappedBuffer(forgery.getBytes(StandardCharsets.ISO_8859_1)));
+            loop.at(loop.now() + MAX_HOLD_MICROS, channel::close);
+        });
+    }
+
+    private static void connect(Loop loop, int port, ChannelInboundHandlerAdapter handler,
+            Consumer<Channel> connected) {
+        new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
+                .handler(handler)
+                .connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+                .addListener((ChannelFuture f) -> {
+                    if (f.isSuccess()) {
+                        connected.accept(f.channel());
+                    }
+                });
+    }
+
     /** Opens a connection and sends malformed input. */
     static void sendGarbage(Loop loop, int port, SplittableRandom random, TrialLog log, String party) {
         sendAndHold(loop, port, INVALID_INPUTS.get(random.nextInt(INVALID_INPUTS.size())), log, party, call -> { });
@@ -60,34 +121,25 @@
      */
     static void sendAndHold(Loop loop, int port, String text, TrialLog log, String party,
             Consumer<String> endedCalls) {
-        new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
-                .handler(new ChannelInitializer<NioSocketChannel>() {
-                    @Override
-                    protected void initChannel(NioSocketChannel channel) {
-                        channel.pipeline().addLast(new ResponseReader(log, party, endedCalls));
-                    }
-                })
-                .connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
-                .addListener((ChannelFuture f) -> {
-                    if (f.isSuccess()) {
-                        Channel channel = f.channel();
-                        channel.writeAndFlush(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1)));
-                        loop.at(loop.now() + MAX_HOLD_MICROS, channel::close);
-                    }
-                });
+        connect(loop, port, new ResponseReader(log, party, endedCalls, accepted -> { }), channel -> {
+            channel.writeAndFlush(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1)));
+            loop.at(loop.now() + MAX_HOLD_MICROS, channel::close);
+        });
     }
 
     /** Connects, sends a text, and closes the connection as soon as the text is written. */
     static void sendAndClose(Loop loop, int port, String text) {
-        new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
-                .handler(new ChannelInboundHandlerAdapter())
-                .connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
-                .addListener((ChannelFuture f) -> {
-                    if (f.isSuccess()) {
-                        f.channel().writeAndFlush(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1)))
-                                .addListener(ChannelFutureListener.CLOSE);
-                    }
-                });
+        connect(loop, port, new ChannelInboundHandlerAdapter(), channel ->
+                channel.writeAndFlush(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1)))
+                        .addListener(ChannelFutureListener.CLOSE));
+    }
+
+    /** Connects, sends a text, and closes the connection after a while. */
+    static void sendAndClose(Loop loop, int port, String text, long stayMicros) {
+        connect(loop, port, new ChannelInboundHandlerAdapter(), channel -> {
+            channel.writeAndFlush(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1)));
+            loop.at(loop.now() + stayMicros, channel::close);
+        });
     }
 
     /** Reads the softswitch's messages, and records each accepted call, which would be a fault. */
@@ -95,9 +147,11 @@
         private final TrialLog log;
         private final String party;
         private final Consumer<String> endedCalls;
+        private final Consumer<String> accepted;
 
-        ResponseReader(TrialLog log, String party, Consumer<String> endedCalls) {
+        ResponseReader(TrialLog log, String party, Consumer<String> endedCalls, Consumer<String> accepted) {
             this.endedCalls = endedCalls;
+            this.accepted = accepted;
             this.log = log;
             this.party = party;
         }
@@ -113,6 +167,7 @@
             }
             if (text.contains("\"accept\"")) {
                 log.add(party, "a bad caller's call is accepted: " + text.strip());
+                accepted.accept(text.strip());
             }
         }
 
--- a/src/main/java/wingspread/testbed/soak/CallerStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/CallerStandIn.java
@@ -42,12 +42,14 @@
     private static final double MISBEHAVING_SHARE = 0.25;
     private static final long FRAGMENT_PAUSE_MICROS = 8_000;
     /** Maximum additional pause between the two parts of a request of a very slow writer. */
+    /** The longest time for which a caller that leaves keeps its connection. */
+    private static final long MAX_STAY_MICROS = 60_000;
     private static final long MAX_SLOW_WRITER_PAUSE_MICROS = 1_500_000;
     private static final String TEST_REQUEST =
             "{\"op\":\"test\",\"call\":\"0000000000000001\",\"with\":{},\"why\":0}\n";
 
     /** Misbehaviour that part of the callers show for the duration of a fault. */
-    enum Misbehaviour { GIVE_UP, REPEATED_ID, SLOW_WRITER, SEND_AND_CLOSE }
+    enum Misbehaviour { GIVE_UP, REPEATED_ID, SLOW_WRITER, SEND_AND_CLOSE, LEAVE_AND_REPEAT }
 
     /**
      * A set-up that has not been answered yet.
@@ -236,6 +238,9 @@
         if (misbehaves(Misbehaviour.SEND_AND_CLOSE)) {
             sendAndClose();
         }
+        if (misbehaves(Misbehaviour.LEAVE_AND_REPEAT)) {
+            leaveAndRepeat();
+        }
         double gap = -Math.log(1 - random.nextDouble()) / deployment.callsPerSecond();
         loop.at(loop.now() + (long) (gap * 1_000_000), this::offerNext);
     }
@@ -253,6 +258,29 @@
                 offerRequest(id, 0, deployment.deadlinesMs().get(0), otherDestination(), false));
     }
 
+    /**
+     * Sends a request on a connection that it closes soon, and then the same request on another one if it has reached
+     * an exchange. One that has reached none may still be sent on.
+     */
+    private void leaveAndRepeat() {
+        String id = newId();
+        log.add(party, id, "offers, leaves and offers again under the same id");
+        judge.offered(id, softswitch, loop.now() + deployment.maxDeadlineMicros(), -1);
+        judge.excused(id, Excuse.CALLER_GAVE_UP);
+        String request = offerRequest(id, 0, deployment.deadlinesMs().get(0), otherDestination(), false);
+        BadCallers.sendAndClose(loop, port, request, random.nextLong(MAX_STAY_MICROS));
+        loop.at(loop.now() + MAX_STAY_MICROS, () -> {
+            if (judge.wasAttempted(id)) {
+                BadCallers.sendAndHold(loop, port, request, log, party, judge::callerNotifiedOfEnd);
+            }
+        });
+    }
+
+    /** Records that the softswitch accepted a call that is invalid, which counts as an answer without a call. */
+    void recordAcceptedForgery(String text) {
+        judge.processRuleBroken(softswitch, "an invalid call of a bad caller is accepted: " + text);
+    }
+
     private boolean misbehaves(Misbehaviour misbehaviour) {
         return misbehaviours.getOrDefault(misbehaviour, false) && random.nextDouble() < MISBEHAVING_SHARE;
     }
--- a/src/main/java/wingspread/testbed/soak/FaultInjector.java
+++ b/src/main/java/wingspread/testbed/soak/FaultInjector.java
@@ -87,11 +87,20 @@
                         random, log, "bad callers of " + softswitch.party()));
             }
             case CROWD -> openIncompleteConnections(softswitch, fault.size());
+            case BURST -> {
+                for (int i = 0; i < fault.size(); i++) {
+                    BadCallers.sendBurst(loop, softswitch.port(), random, log, "burst at " + softswitch.party());
+                }
+            }
+            case FORGERY -> repeat(fault, BAD_CALLER_INTERVAL_MICROS, () -> BadCallers.sendForgery(loop,
+                    softswitch.port(), random, log, "forger at " + softswitch.party(),
+                    text -> softswitch.callers().recordAcceptedForgery(text)));
             default -> {
                 Misbehaviour misbehaviour = switch (fault.kind()) {
                     case REPEATED_ID -> Misbehaviour.REPEATED_ID;
                     case GIVE_UP -> Misbehaviour.GIVE_UP;
                     case SLOW_WRITER -> Misbehaviour.SLOW_WRITER;
+                    case LEAVE_AND_REPEAT -> Misbehaviour.LEAVE_AND_REPEAT;
                     default -> Misbehaviour.SEND_AND_CLOSE;
                 };
                 softswitch.callers().setMisbehaviour(misbehaviour, true);
--- a/src/main/java/wingspread/testbed/soak/FaultKind.java
+++ b/src/main/java/wingspread/testbed/soak/FaultKind.java
@@ -9,7 +9,7 @@
     /** SIGKILL to a softswitch without a preceding SIGTERM, and a restart. */
     KILL(Group.SHUTDOWN, Target.SOFTSWITCH),
     /** A restart as in {@link #RESTART}, amid a series of signals: SIGHUP, SIGTERM, SIGHUP, SIGTERM. */
-    SIGNALS(Group.SHUTDOWN, Target.SOFTSWITCH, true),
+    SIGNALS(Group.SHUTDOWN, Target.SOFTSWITCH, 1),
     /** Three configurations in quick succession, each with a new address of the directory, and a SIGHUP for each. */
     RELOAD(Group.DISCOVERY, Target.SOFTSWITCH),
     /** The directory does not answer. */
@@ -32,7 +32,7 @@
      * An exchange drains for {@code size} milliseconds, leaves the directory and returns under its id at its address,
      * {@code forMs} later. Its new process may start before softswitches have been told that the earlier one has gone.
      */
-    RETURN(Group.DISCOVERY, Target.EXCHANGE, true),
+    RETURN(Group.DISCOVERY, Target.EXCHANGE, 1),
     /** Callers send malformed requests. */
     GARBAGE(Group.CALLERS, Target.SOFTSWITCH),
     /** Callers open {@code size} connections and never complete a request on them. */
@@ -60,11 +60,11 @@
     /** New connections to an exchange are closed immediately. */
     CLOSE_EARLY(Group.NETWORK, Target.EXCHANGE),
     /** An exchange closes half of its connections without open set-ups, every 700 ms. */
-    CLOSE_IDLE(Group.NETWORK, Target.EXCHANGE, true),
+    CLOSE_IDLE(Group.NETWORK, Target.EXCHANGE, 1),
     /** An exchange forgets half of its connections without open set-ups, every 700 ms: they stay open and silent. */
-    FORGET_IDLE(Group.NETWORK, Target.EXCHANGE, true),
+    FORGET_IDLE(Group.NETWORK, Target.EXCHANGE, 1),
     /** The network loses half of the connections to an exchange: they stay open on both sides and transfer nothing. */
-    LOSE_CONNECTIONS(Group.NETWORK, Target.EXCHANGE, true),
+    LOSE_CONNECTIONS(Group.NETWORK, Target.EXCHANGE, 1),
     /** Connections are reset after {@code size} bytes from the exchange. */
     RESET_IN_MESSAGE(Group.PIECES, Target.EXCHANGE),
     /** Data from an exchange arrives in segments of {@code size} bytes. */
@@ -72,7 +72,13 @@
     /** Callers send their requests in several segments. */
     SLOW_WRITER(Group.PIECES, Target.SOFTSWITCH),
     /** Callers send a request and close their connection right after it. */
-    SEND_AND_CLOSE(Group.PIECES, Target.SOFTSWITCH);
+    SEND_AND_CLOSE(Group.PIECES, Target.SOFTSWITCH),
+    /** {@code size} bad callers send a few hundred requests each at once. */
+    BURST(Group.CALLERS, Target.SOFTSWITCH, 2),
+    /** Bad callers send requests that would forge messages to exchanges, or whose figures are out of range. */
+    FORGERY(Group.CALLERS, Target.SOFTSWITCH, 2),
+    /** Callers close their connection during a set-up and send it again under the same id on another one. */
+    LEAVE_AND_REPEAT(Group.PIECES, Target.SOFTSWITCH, 2);
 
     /** The group of a fault; a drawn schedule has faults of every group. */
     public enum Group { SHUTDOWN, DISCOVERY, CALLERS, NETWORK, PIECES }
@@ -82,16 +88,16 @@
 
     private final Group group;
     private final Target target;
-    private final boolean drawnSeparately;
+    private final int drawingRound;
 
     FaultKind(Group group, Target target) {
-        this(group, target, false);
+        this(group, target, 0);
     }
 
-    FaultKind(Group group, Target target, boolean drawnSeparately) {
+    FaultKind(Group group, Target target, int drawingRound) {
         this.group = group;
         this.target = target;
-        this.drawnSeparately = drawnSeparately;
+        this.drawingRound = drawingRound;
     }
 
     public Group group() {
@@ -103,11 +109,11 @@
     }
 
     /**
-     * Whether faults of this kind are drawn after all others, from random numbers of their own. The other faults of a
-     * seed then stay the same when a kind is added.
+     * Returns the round in which faults of this kind are drawn. Every round but the first, 0, has random numbers of its
+     * own, so that the faults of earlier rounds of a seed stay the same when a kind is added in a new one.
      */
-    boolean drawnSeparately() {
-        return drawnSeparately;
+    int drawingRound() {
+        return drawingRound;
     }
 
     /** Returns the fault's name on the command line, such as {@code directory-silent}. */
--- a/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
+++ b/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
@@ -33,6 +33,8 @@
     /** Maximum number of faults of the kinds that are drawn separately; at least one is drawn if any is allowed. */
     private static final int MAX_SEPARATE_FAULTS = 4;
     private static final int MAX_DISTURBANCE_DELAY_MS = 2_000;
+    /** Number of rounds in which faults are drawn after the first. */
+    private static final int DRAWING_ROUNDS = 2;
     private static final long SEPARATE_SEED_OFFSET = 0x5eba_7a7eL;
 
     private ScheduleGenerator() { }
@@ -47,7 +49,7 @@
         SplittableRandom random = new SplittableRandom(seed);
         Deployment deployment = generateDeployment(random);
         Set<FaultKind> allowed = allowedKinds.isEmpty() ? EnumSet.allOf(FaultKind.class) : EnumSet.copyOf(allowedKinds);
-        List<FaultKind> kinds = allowed.stream().filter(kind -> !kind.drawnSeparately()).toList();
+        List<FaultKind> kinds = allowed.stream().filter(kind -> kind.drawingRound() == 0).toList();
         List<FaultKind> chosenKinds = new ArrayList<>();
         for (Group group : Group.values()) {
             List<FaultKind> ofGroup = kinds.stream().filter(kind -> kind.group() == group).toList();
@@ -67,8 +69,12 @@
                     + random.nextInt(-CLUSTER_RADIUS_MS, CLUSTER_RADIUS_MS + 1);
             faults.add(generateFault(kind, Math.max(FIRST_FAULT_MS, Math.min(latestMs, atMs)), deployment, random));
         }
-        addSeparateFaults(faults, allowed.stream().filter(FaultKind::drawnSeparately).toList(), latestMs, deployment,
-                new SplittableRandom(seed + SEPARATE_SEED_OFFSET));
+        for (int round = 1; round <= DRAWING_ROUNDS; round++) {
+            int present = round;
+            List<FaultKind> ofRound = allowed.stream().filter(kind -> kind.drawingRound() == present).toList();
+            addSeparateFaults(faults, ofRound, latestMs, deployment,
+                    new SplittableRandom(seed + round * SEPARATE_SEED_OFFSET));
+        }
         return new Schedule(seed, seconds, deployment, sortAndSpaceOut(faults));
     }
 
@@ -121,6 +127,7 @@
             case VANISH, REPLACE -> random.nextInt(1_500, 9_001);
             case DRAIN, RETURN -> random.nextInt(500, 4_001);
             case CROWD -> random.nextInt(100, 2_001);
+            case BURST -> random.nextInt(20, 151);
             case RESET_IN_MESSAGE -> random.nextInt(100, 3_000);
             case PIECES -> random.nextInt(3, 200);
             default -> 0;
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -457,8 +457,8 @@
     }
 
     /**
-     * Guards against a call that runs twice: its client left while an exchange worked on it, and sent it again under the
-     * same id on another connection.
+     * Guards against a call that runs twice: its client left while an exchange worked on it, and sent it again under
+     * the same id on another connection.
      */
     @Test
     void doesNotSendAnIdAgainThatAnExchangeMayHaveRun() {
--- a/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
+++ b/src/test/java/wingspread/front/sip/LossyLoopbackTest.java
@@ -204,8 +204,8 @@
     }
 
     /**
-     * The faults of a datagram depend on its content alone, since the order of datagrams varies with the machine; and not
-     * on the ports in it, which vary with each run.
+     * The faults of a datagram depend on its content alone, since the order of datagrams varies with the machine; and
+     * not on the ports in it, which vary with each run.
      */
     private void sendWithFaults(byte[] bytes, boolean towardFront) {
         byte[] content = withoutPorts(bytes);
--- a/src/test/java/wingspread/net/AdmissionTest.java
+++ b/src/test/java/wingspread/net/AdmissionTest.java
@@ -91,8 +91,8 @@
     }
 
     /**
-     * Guards against the release of a call that is told late: a caller that has come back after a restart and only waits
-     * for the ends of its calls lost the one connection on which they could be notified.
+     * Guards against the release of a call that is told late: a caller that has come back after a restart and only
+     * waits for the ends of its calls lost the one connection on which they could be notified.
      */
     @Test
     void keepsOnlyConnectionWithoutMessageUntilAnotherOneIsOpen() throws Exception {
--- a/src/test/java/wingspread/testbed/soak/PlantedFaultTest.java
+++ b/src/test/java/wingspread/testbed/soak/PlantedFaultTest.java
@@ -45,6 +45,12 @@
                         "scheduled = false;\n            scheduleIncompleteMessageCheck(context);",
                         "scheduled = false;\n            dropInput();"),
                         Set.of(FaultKind.SLOW_WRITER), Rule.ONE_ANSWER),
+                Arguments.of(new PlantedBuild("an id that an exchange may have run is sent again", "core/Planner.java",
+                        " || endedCallIds.contains(request.id())) {", ") {"),
+                        Set.of(FaultKind.LEAVE_AND_REPEAT), Rule.RELEASE_FIRST),
+                Arguments.of(new PlantedBuild("widths of callers are not checked", "front/jsonl/OfferParser.java",
+                        "require(text == null || finite(\"width\", text) == callClass.width(),", "require(true,"),
+                        Set.of(FaultKind.FORGERY), Rule.PROCESS),
                 Arguments.of(new PlantedBuild("descriptors of idle connections leak", "net/Admission.java",
                         "boolean hasCapacity = awaitingFirstMessage.size() + active.size() < maxConnections.getAsInt()"
                                 + " || evictOne();",
