Cancel the timer of an administrative connection when the connection ends

Change: the timer is cancelled with the connection. Result: AdminServerTest.keepsNothingOfClosedConnection, which watches a closed connection by a weak reference, failed without the cancellation and passes.

--- a/src/main/java/wingspread/admin/AdminServer.java
+++ b/src/main/java/wingspread/admin/AdminServer.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.io.Closeable;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
@@ -56,12 +57,22 @@
             connections.iterator().next().close();
         }
         connections.add(channel);
-        channel.closeFuture().addListener(closed -> connections.remove(channel));
-        channel.eventLoop().schedule(() -> channel.close(), MAX_CONNECTION_LIFE_SECONDS, TimeUnit.SECONDS);
+        // A timer that outlives its connection would keep it, and short connections are not limited in number.
+        ScheduledFuture<?> timeout = channel.eventLoop().schedule(() -> channel.close(), MAX_CONNECTION_LIFE_SECONDS,
+                TimeUnit.SECONDS);
+        channel.closeFuture().addListener(closed -> {
+            connections.remove(channel);
+            timeout.cancel(false);
+        });
         channel.pipeline().addLast(new HttpServerCodec(MAX_REQUEST_LINE_BYTES, MAX_HEADER_BYTES, MAX_BODY_BYTES),
                 new HttpObjectAggregator(MAX_BODY_BYTES, true), new AdminHandler(operations));
     }
 
+    /** Returns the open connections. */
+    Set<Channel> connections() throws InterruptedException {
+        return group.next().submit(() -> Set.copyOf(connections)).sync().getNow();
+    }
+
     /** Stops listening and closes all connections. */
     @Override
     public void close() {
--- a/src/test/java/wingspread/admin/AdminServerTest.java
+++ b/src/test/java/wingspread/admin/AdminServerTest.java
@@ -1,14 +1,18 @@
 package wingspread.admin;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.Channel;
 import java.io.IOException;
+import java.lang.ref.WeakReference;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -108,4 +112,32 @@
             assertEquals(-1, slow.getInputStream().read());
         }
     }
+
+    private WeakReference<Channel> openAndCloseConnection() throws Exception {
+        WeakReference<Channel> connection;
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            while (server.connections().isEmpty()) {
+                Thread.onSpinWait();
+            }
+            connection = new WeakReference<>(server.connections().iterator().next());
+            assertTrue(socket.isConnected());
+        }
+        while (!server.connections().isEmpty()) {
+            Thread.onSpinWait();
+        }
+        return connection;
+    }
+
+    /** Guards against memory that grows with short connections: a timer kept each of them for four seconds. */
+    @Test
+    void keepsNothingOfClosedConnection() throws Exception {
+        WeakReference<Channel> connection = openAndCloseConnection();
+        long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
+        while (connection.get() != null && System.nanoTime() < giveUpAt) {
+            // Another connection lets the server's selector drop its key of the closed one.
+            assertEquals(200, status("GET", "/admin/health"));
+            System.gc();
+        }
+        assertNull(connection.get(), "the closed connection is kept");
+    }
 }
