--- a/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
+++ b/src/main/java/wingspread/testbed/soak/SoftswitchHost.java
@@ -275,6 +275,16 @@
 
     // Supervision of the process, as by the platform.
 
+    /** Returns the last line that the process has logged, to be appended to a message on its end. */
+    private String lastLogLine() {
+        try {
+            List<String> lines = process.logLines();
+            return lines.isEmpty() ? ", nothing logged" : ", last logged: " + lines.get(lines.size() - 1);
+        } catch (IOException e) {
+            return ", its log cannot be read: " + e.getMessage();
+        }
+    }
+
     private void watch(Process watchedProcess) {
         loop.at(loop.now() + WATCH_INTERVAL_MICROS, () -> {
             if (watchedProcess != process.process()) {
@@ -282,12 +292,14 @@
             }
             if (!watchedProcess.isAlive()) {
                 if (!terminating) {
-                    judge.processRuleBroken(number, "crashed with exit code " + watchedProcess.exitValue());
+                    judge.processRuleBroken(number, "crashed with exit code " + watchedProcess.exitValue()
+                            + lastLogLine());
                     terminating = true;
                     callers.sigkillSent();
                     scheduleRestart();
                 } else if (!List.of(0, EXIT_CODE_SIGKILL, EXIT_CODE_SIGTERM).contains(watchedProcess.exitValue())) {
-                    judge.processRuleBroken(number, "ended with exit code " + watchedProcess.exitValue());
+                    judge.processRuleBroken(number, "ended with exit code " + watchedProcess.exitValue()
+                            + lastLogLine());
                 }
                 return;
             }
