Send no release of another caller's call to a client with invalid set-ups

Change: a connection on which an invalid set-up came is not chosen. Result: JsonlFrontTest.releaseOfUnknownCallIsNotSentToClientWithInvalidOffers failed before (read timed out) and passes.

--- a/src/main/java/wingspread/front/jsonl/JsonlFront.java
+++ b/src/main/java/wingspread/front/jsonl/JsonlFront.java
@@ -301,6 +301,7 @@
             request = offers.parse(message, loop.now());
         } catch (OfferParser.InvalidOfferException e) {
             metrics.count("answered.invalid");
+            releaseDelivery.distrust(channel);
             write(channel, line("end", call, "", INVALID_CAUSE, null));
             return;
         }
--- a/src/main/java/wingspread/front/jsonl/ReleaseDelivery.java
+++ b/src/main/java/wingspread/front/jsonl/ReleaseDelivery.java
@@ -75,6 +75,11 @@
         moveToEnd(heardOn, channel);
     }
 
+    /** Records that an invalid set-up was received on a connection, whose caller may not handle releases. */
+    void distrust(Channel channel) {
+        heardOn.remove(channel);
+    }
+
     /** Records that a call was offered on a connection, and sends it the queued releases. */
     void callOffered(Channel channel) {
         moveToEnd(offeredOn, channel);
--- a/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
+++ b/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
@@ -246,4 +246,23 @@
             throw new IllegalStateException(e);
         }
     }
+
+    /** Guards against a release that is told to a client which sends invalid requests, while a usual caller waits. */
+    @Test
+    void releaseOfUnknownCallIsNotSentToClientWithInvalidOffers() throws Exception {
+        caller.send("{\"op\":\"test\",\"call\":\"0000000000000001\",\"with\":{},\"why\":0}\n");
+        assertEquals("tested", caller.next().get("op"));
+        try (Wire<Map<?, ?>> badClient = connect()) {
+            badClient.send("{\"op\":\"offer\"," + fields(CALL_B, "x", "plain", "1500", "dest:1") + ",\"desc\":\"\"}\n");
+            assertEquals(100.0, badClient.next().get("why"));
+            runInLoop(() -> {
+                front.onEnded(CALL_A, 16);
+                front.sendQueuedReleases();
+                return null;
+            });
+            Map<?, ?> release = caller.next();
+            assertEquals("end", release.get("op"));
+            assertEquals(CALL_A, release.get("call"));
+        }
+    }
 }
