Look for a connection for queued releases again with each message of a caller

Cause: ReleaseDelivery looked for a connection once, 0.5 s after it queued a release, and afterwards only as a call was offered. Change: each message of a caller starts another look 0.5 s later while releases are queued, one at a time in place of one for each release. Result: JsonlFrontTest.queuedReleaseReachesCallerThatConnectsLaterAndOnlyTests failed before (read timed out after 10 s) and passes.

--- a/src/main/java/wingspread/front/jsonl/ReleaseDelivery.java
+++ b/src/main/java/wingspread/front/jsonl/ReleaseDelivery.java
@@ -52,6 +52,8 @@
      */
     private final Set<Channel> offeredOn = new LinkedHashSet<>();
     private final ArrayDeque<QueuedRelease> queued = new ArrayDeque<>();
+    /** Whether the queued releases are to be sent on any connection soon, if no call is offered meanwhile. */
+    private boolean offerAwaited;
     /** The most recently written releases, oldest first. */
     private final ArrayDeque<SentRelease> recentlySent = new ArrayDeque<>();
     /**
@@ -73,6 +75,9 @@
     /** Records that a complete message was received on a connection. */
     void markActive(Channel channel) {
         moveToEnd(heardOn, channel);
+        if (!queued.isEmpty()) {
+            awaitOffer();
+        }
     }
 
     /** Records that an invalid set-up was received on a connection, whose caller may not handle releases. */
@@ -150,7 +155,13 @@
      * the time after a start, when callers have connected and sent messages such as a test, but offer no call.
      */
     private void awaitOffer() {
-        loop.at(loop.now() + MAX_OFFER_WAIT_MICROS, this::sendQueuedOnAnyConnection);
+        if (!offerAwaited) {
+            offerAwaited = true;
+            loop.at(loop.now() + MAX_OFFER_WAIT_MICROS, () -> {
+                offerAwaited = false;
+                sendQueuedOnAnyConnection();
+            });
+        }
     }
 
     /** Whether a caller is connected that has sent a message, so that a release could be sent now. */
--- a/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
+++ b/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
@@ -265,4 +265,19 @@
             assertEquals(CALL_A, release.get("call"));
         }
     }
+
+    /** Guards against a release that is told late: the caller came after the one look for a connection, and only tests. */
+    @Test
+    void queuedReleaseReachesCallerThatConnectsLaterAndOnlyTests() throws Exception {
+        runInLoop(() -> {
+            front.onEnded(CALL_A, 16);
+            front.sendQueuedReleases();
+            return null;
+        });
+        // Longer than the time after which the front looks for a connection.
+        runInLoop(() -> loop.group().next().schedule(() -> { }, 600, TimeUnit.MILLISECONDS)).get();
+        caller.send("{\"op\":\"test\",\"call\":\"0000000000000001\",\"with\":{},\"why\":0}\n");
+        assertEquals("tested", caller.next().get("op"));
+        assertEquals(CALL_A, caller.next().get("call"));
+    }
 }
