Check no exchange during a shutdown while no caller could be told of the result

An exchange repeats a release on the next connection, and such a check took the repeat from the next process, which could tell it. Change: ExchangeMonitor asks whether any caller with a call on the exchange is reachable before it opens a connection during shutdown. Result: PlannerTest.checksNoExchangeDuringShutdownWhileNoCallerIsReachable failed before (three checks) and passes.

--- a/src/main/java/wingspread/core/ExchangeMonitor.java
+++ b/src/main/java/wingspread/core/ExchangeMonitor.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import wingspread.control.ExchangeLiveness;
 import wingspread.turn.Deadlines;
@@ -16,6 +17,7 @@
     private final LongSupplier clock;
     private final Deadlines deadlines;
     private final ExchangeTransport exchanges;
+    private final LongPredicate callersReachable;
     private final DownListener listener;
     private final Map<Long, MonitoredExchange> monitoredExchanges = new HashMap<>();
     private boolean shuttingDown;
@@ -40,8 +42,14 @@
         }
     }
 
-    /** Creates a monitor that schedules its checks in {@code deadlines}. */
-    ExchangeMonitor(LongSupplier clock, Deadlines deadlines, ExchangeTransport exchanges, DownListener listener) {
+    /**
+     * Creates a monitor that schedules its checks in {@code deadlines}.
+     *
+     * @param callersReachable whether any caller with a call on an exchange could be notified of its end now
+     */
+    ExchangeMonitor(LongSupplier clock, Deadlines deadlines, ExchangeTransport exchanges,
+            LongPredicate callersReachable, DownListener listener) {
+        this.callersReachable = callersReachable;
         this.clock = clock;
         this.deadlines = deadlines;
         this.exchanges = exchanges;
@@ -101,6 +109,14 @@
         return entry != null && entry.liveness.isUnresponsive(now);
     }
 
+    /**
+     * Whether a check may open a connection. During shutdown it must not where its result is of no use: the exchange
+     * repeats on the next connection what nobody could be told of, and that one is to be the next process's.
+     */
+    private boolean mayCheck(long exchange) {
+        return !shuttingDown || callersReachable.test(exchange);
+    }
+
     private void scheduleCheck(long exchange, MonitoredExchange entry) {
         deadlines.add(entry.liveness.nextStepAt(clock.getAsLong()), () -> evaluate(exchange, entry));
     }
@@ -121,7 +137,7 @@
                 return;
             }
             case CHECK -> {
-                if (exchanges.checkLiveness(exchange)) {
+                if (mayCheck(exchange) && exchanges.checkLiveness(exchange)) {
                     entry.liveness.checkStarted(now);
                 } else {
                     entry.liveness.checkSkipped(now);
--- a/src/main/java/wingspread/core/Planner.java
+++ b/src/main/java/wingspread/core/Planner.java
@@ -114,7 +114,7 @@
         this.metrics = metrics;
         this.maxCalls = maxCalls;
         this.counters = new CallCounters(settings.classes().size());
-        this.exchangeMonitor = new ExchangeMonitor(clock, deadlines, exchanges,
+        this.exchangeMonitor = new ExchangeMonitor(clock, deadlines, exchanges, this::hasReachableCaller,
                 (exchange, silenceMicros) -> actions.add(() -> exchangeUnresponsive(exchange, silenceMicros)));
         this.control = new WindowControl(clock.getAsLong(), settings, parameters, seed, this);
         metrics.addGauge("kept.calls", byId::size);
@@ -517,6 +517,11 @@
         }
     }
 
+    private boolean hasReachableCaller(long exchange) {
+        return establishedCallsThrough(exchange, attempt -> true).stream()
+                .anyMatch(state -> state.caller.isReachable());
+    }
+
     private List<CallState> establishedCallsThrough(long exchange, Predicate<Attempt> condition) {
         return byId.values().stream().filter(state -> state.isEstablished()
                 && state.lastAttempt().exchange() == exchange && condition.test(state.lastAttempt())).toList();
--- a/src/test/java/wingspread/core/PlannerTest.java
+++ b/src/test/java/wingspread/core/PlannerTest.java
@@ -539,6 +539,23 @@
         assertRecorded("release a 41", "ended 41");
     }
 
+    /**
+     * Guards against a release that is lost at a restart: an exchange repeats it on the next connection, and a check of
+     * the process that is about to exit took it from the next process.
+     */
+    @Test
+    void checksNoExchangeDuringShutdownWhileNoCallerIsReachable() {
+        offer("a");
+        process(new Event.Answered(1, "a", DESCRIPTION));
+        callerReachable = false;
+        planner.setAnswerDeadline(now + 3_000_000);
+        advanceInSteps(1_500_000);
+        assertEquals(List.of(), checks);
+        callerReachable = true;
+        advanceInSteps(1_000_000);
+        assertTrue(!checks.isEmpty());
+    }
+
     @Test
     void cutsOnlyCallsSentBeforeExchangeRestart() {
         offer("a");
