--- a/src/main/java/wingspread/testbed/soak/BadCallers.java
+++ b/src/main/java/wingspread/testbed/soak/BadCallers.java
@@ -89,12 +89,19 @@
 
     private static void connect(Loop loop, int port, ChannelInboundHandlerAdapter handler,
             Consumer<Channel> connected) {
+        connect(loop, port, handler, connected, () -> { });
+    }
+
+    private static void connect(Loop loop, int port, ChannelInboundHandlerAdapter handler,
+            Consumer<Channel> connected, Runnable failed) {
         new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
                 .handler(handler)
                 .connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
                 .addListener((ChannelFuture f) -> {
                     if (f.isSuccess()) {
                         connected.accept(f.channel());
+                    } else {
+                        failed.run();
                     }
                 });
     }
@@ -134,12 +141,17 @@
                         .addListener(ChannelFutureListener.CLOSE));
     }
 
-    /** Connects, sends a text, and closes the connection after a while. */
-    static void sendAndClose(Loop loop, int port, String text, long stayMicros) {
+    /**
+     * Connects, sends a text, and closes the connection after a while.
+     *
+     * @param left is run once the connection is closed, or could not be opened
+     */
+    static void sendAndClose(Loop loop, int port, String text, long stayMicros, Runnable left) {
         connect(loop, port, new ChannelInboundHandlerAdapter(), channel -> {
             channel.writeAndFlush(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1)));
+            channel.closeFuture().addListener(closed -> left.run());
             loop.at(loop.now() + stayMicros, channel::close);
-        });
+        }, left);
     }
 
     /** Reads the softswitch's messages, and records each accepted call, which would be a fault. */
--- a/src/main/java/wingspread/testbed/soak/CallerStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/CallerStandIn.java
@@ -74,6 +74,8 @@
     private final Set<Channel> partiallyWritten = new HashSet<>();
     private int pendingResends;
     private boolean offering;
+    /** Until when the callers offer nothing and keep no connection, in microseconds. */
+    private long absentUntil;
     private boolean closed;
     private boolean ready;
     /** Time in microseconds at which SIGTERM was sent to the softswitch; {@link Long#MAX_VALUE} if none was sent. */
@@ -118,6 +120,31 @@
         offering = false;
     }
 
+    /** Offers nothing for a while, and keeps no connection once its set-ups are answered. */
+    void leave(long micros) {
+        log.add(party, TrialLog.NO_CALL, "leave for " + micros / 1_000 + " ms");
+        absentUntil = loop.now() + micros;
+        judge.callersAway(softswitch, true);
+        closeAnswered();
+    }
+
+    private boolean isAbsent() {
+        return loop.now() < absentUntil;
+    }
+
+    private void closeAnswered() {
+        if (isAbsent()) {
+            unansweredOffers.entrySet().stream().filter(connection -> connection.getValue().isEmpty())
+                    .map(Map.Entry::getKey).toList().forEach(Channel::close);
+            loop.at(loop.now() + RETRY_INTERVAL_MICROS, this::closeAnswered);
+        } else if (ready) {
+            judge.callersAway(softswitch, false);
+        } else {
+            // Connections are open again once the softswitch is ready.
+            loop.at(loop.now() + RETRY_INTERVAL_MICROS, this::closeAnswered);
+        }
+    }
+
     /** Switches a misbehaviour on or off. */
     void setMisbehaviour(Misbehaviour misbehaviour, boolean on) {
         misbehaviours.put(misbehaviour, on);
@@ -152,6 +179,10 @@
         if (closed) {
             return;
         }
+        if (isAbsent()) {
+            loop.at(absentUntil, () -> connect(slot));
+            return;
+        }
         new Bootstrap().group(loop.group()).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<NioSocketChannel>() {
@@ -231,7 +262,7 @@
         if (!offering) {
             return;
         }
-        Channel channel = randomWritableConnection();
+        Channel channel = isAbsent() ? null : randomWritableConnection();
         if (channel != null) {
             offer(channel, false);
         }
@@ -266,10 +297,9 @@
         String id = newId();
         log.add(party, id, "offers, leaves and offers again under the same id");
         judge.offered(id, softswitch, loop.now() + deployment.maxDeadlineMicros(), -1);
-        judge.excused(id, Excuse.CALLER_GAVE_UP);
         String request = offerRequest(id, 0, deployment.deadlinesMs().get(0), otherDestination(), false);
-        BadCallers.sendAndClose(loop, port, request, random.nextLong(MAX_STAY_MICROS));
-        loop.at(loop.now() + MAX_STAY_MICROS, () -> {
+        BadCallers.sendAndClose(loop, port, request, random.nextLong(MAX_STAY_MICROS), () -> {
+            judge.excused(id, Excuse.CALLER_GAVE_UP);
             if (judge.wasAttempted(id)) {
                 BadCallers.sendAndHold(loop, port, request, log, party, judge::callerNotifiedOfEnd);
             }
--- a/src/main/java/wingspread/testbed/soak/FaultInjector.java
+++ b/src/main/java/wingspread/testbed/soak/FaultInjector.java
@@ -10,6 +10,9 @@
 
 /** Injects a schedule's faults into the parts of a trial, each at its time. Confined to the trial's loop. */
 final class FaultInjector {
+    /** Time for which callers are away before the exchanges hang. */
+    private static final long QUIET_MICROS = 700_000;
+    private static final long SIGTERM_AFTER_HANG_MICROS = 200_000;
     private static final long RELOAD_INTERVAL_MICROS = 150_000;
     private static final int RELOADS = 3;
     private static final long BAD_CALLER_INTERVAL_MICROS = 100_000;
@@ -77,6 +80,7 @@
             case RESTART -> softswitch.restart();
             case SIGNALS -> softswitch.restartAmidSignals();
             case KILL -> softswitch.kill();
+            case QUIET_RESTART -> restartQuietly(softswitch, fault.forMs() * 1_000L);
             case RELOAD -> {
                 for (int i = 0; i < RELOADS; i++) {
                     loop.at(loop.now() + i * RELOAD_INTERVAL_MICROS, softswitch::reload);
@@ -109,6 +113,17 @@
         }
     }
 
+    /** Restarts a softswitch while its callers are away and all exchanges hang. */
+    private void restartQuietly(SoftswitchHost softswitch, long micros) {
+        softswitch.callers().leave(QUIET_MICROS + micros);
+        loop.at(loop.now() + QUIET_MICROS, () -> {
+            List<ExchangeStandIn> hanging = exchanges.stream().map(ExchangeHost::process).toList();
+            hanging.forEach(ExchangeStandIn::hang);
+            loop.at(loop.now() + SIGTERM_AFTER_HANG_MICROS, softswitch::restart);
+            loop.at(loop.now() + micros, () -> hanging.forEach(ExchangeStandIn::resume));
+        });
+    }
+
     /** Opens connections that never complete a request, in batches. */
     private void openIncompleteConnections(SoftswitchHost softswitch, int remaining) {
         for (int i = 0; i < Math.min(CONNECTION_BATCH_SIZE, remaining); i++) {
--- a/src/main/java/wingspread/testbed/soak/FaultKind.java
+++ b/src/main/java/wingspread/testbed/soak/FaultKind.java
@@ -77,6 +77,11 @@
     BURST(Group.CALLERS, Target.SOFTSWITCH, 2),
     /** Bad callers send requests that would forge messages to exchanges, or whose figures are out of range. */
     FORGERY(Group.CALLERS, Target.SOFTSWITCH, 2),
+    /**
+     * A softswitch is restarted while its callers have closed their connections and all exchanges hang, through the
+     * whole of the shutdown or longer.
+     */
+    QUIET_RESTART(Group.SHUTDOWN, Target.SOFTSWITCH, 2),
     /** Callers close their connection during a set-up and send it again under the same id on another one. */
     LEAVE_AND_REPEAT(Group.PIECES, Target.SOFTSWITCH, 2);
 
--- a/src/main/java/wingspread/testbed/soak/Judge.java
+++ b/src/main/java/wingspread/testbed/soak/Judge.java
@@ -79,6 +79,8 @@
     private final Map<String, OfferedWork> coldLoads = new HashMap<>();
     /** Softswitches that were terminated by SIGKILL and have not been restarted yet. */
     private final Set<Integer> down = new HashSet<>();
+    /** Softswitches whose callers have left for a while. */
+    private final Set<Integer> absent = new HashSet<>();
     /** How many processes of each softswitch have been started. */
     private final Map<Integer, Integer> processes = new HashMap<>();
     private final Map<Excuse, Integer> excused = new EnumMap<>(Excuse.class);
@@ -197,6 +199,23 @@
         });
     }
 
+    /**
+     * The callers of a softswitch leave, or come back. While they are away no release can be sent to them, and what was
+     * sent just before may have crossed their leaving.
+     */
+    void callersAway(int softswitch, boolean away) {
+        if (!away) {
+            absent.remove(softswitch);
+            return;
+        }
+        absent.add(softswitch);
+        calls.forEach((id, call) -> {
+            if (call.softswitch == softswitch && call.established && call.released) {
+                releaseLost(id);
+            }
+        });
+    }
+
     /** A release was sent but not received, as its connection was closed while it was in transit. */
     void releaseLost(String id) {
         Call call = calls.get(id);
@@ -409,7 +428,7 @@
         if (call == null || !uid.equals(call.answeredBy)) {
             return;
         }
-        if (down.contains(call.softswitch)) {
+        if (down.contains(call.softswitch) || absent.contains(call.softswitch)) {
             callEnded(id, uid);
         } else {
             call.ended = true;
@@ -424,7 +443,11 @@
         if (call != null && call.established) {
             // The rule says 'within 1 s of the release by the exchange or the softswitch', so this counts as one.
             call.ended = true;
-            rules.releaseSent(id, loop.now());
+            if (absent.contains(call.softswitch)) {
+                rules.callEnded(id, loop.now());
+            } else {
+                rules.releaseSent(id, loop.now());
+            }
         }
     }
 
--- a/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
+++ b/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
@@ -135,6 +135,7 @@
         int durationMs = switch (kind) {
             case VANISH, REPLACE -> random.nextInt(1_000, 10_001);
             case CRASH -> random.nextInt(100, 3_001);
+            case QUIET_RESTART -> random.nextInt(1_000, 3_001);
             case RETURN -> random.nextInt(300, 2_001);
             case LATE_CONNECT -> random.nextInt(200, 1_001);
             default -> kind.target() == Target.NONE ? Math.min(defaultDurationMs, MAX_DIRECTORY_FAULT_MS)
