Double the buffer of a connection that is read ahead in place of growing it by a read

Cause: beyond 32 KiB the buffer grew to the exact size needed with each read of 16 KiB, so that a burst of 1 MiB copied and allocated some 33 MB. Change: it doubles there. For one incomplete message the limit of 32 KiB stays, since hundreds of connections may hold one each. Result: MessageHandlerTest, BadClientMemoryTest, BadClientFloodTest and JsonlFrontTest pass.

--- a/src/main/java/wingspread/net/MessageHandler.java
+++ b/src/main/java/wingspread/net/MessageHandler.java
@@ -33,6 +33,8 @@
      * connection that is read ahead of its processing shows that its peer has left.
      */
     public static final int MAX_READ_AHEAD_BYTES = 1 << 20;
+    /** The longest incomplete message, with the read that exceeds it. */
+    private static final int MAX_INCOMPLETE_BYTES = FrameDecoder.MAX_FRAME + READ_BYTES;
     /** Initial size of the buffer, to which a larger one returns when it is empty. */
     private static final int INITIAL_BUFFER_BYTES = 1024;
     private static final Logger LOG = LoggerFactory.getLogger("connection");
@@ -416,7 +418,9 @@
     private void makeRoom(int required) {
         byte[] target = bytes;
         if (required > bytes.length) {
-            int doubled = Math.min(bytes.length * 2, FrameDecoder.MAX_FRAME + READ_BYTES);
+            // Doubled, but for hundreds of connections that buffer one incomplete message each.
+            boolean readsAhead = required > MAX_INCOMPLETE_BYTES;
+            int doubled = readsAhead ? bytes.length * 2 : Math.min(bytes.length * 2, MAX_INCOMPLETE_BYTES);
             target = new byte[Math.max(required, doubled)];
         }
         System.arraycopy(bytes, readIndex, target, 0, unprocessedBytes());
