Take the number called as a JSON number too

Cause: PROTOCOL says that fields are strings or numbers, and OfferParser took the number called as a string alone, which the front before it did not ask. Change: both are taken; the id stays a string, since a JSON number of 16 digits is not exact. Result: JsonlFrontTest.acceptsOfferWithWholeNumbersInAnyNotation covers it.

--- a/src/main/java/wingspread/front/jsonl/OfferParser.java
+++ b/src/main/java/wingspread/front/jsonl/OfferParser.java
@@ -56,7 +56,12 @@
         int classIndex = classIndex(className);
         double remainingMs = finite("left", text(fields, "left"));
         require(remainingMs >= 0, "left is negative");
-        return new Request(matching(CALL_ID, "call", message), className, classIndex, matching(NUMBER, "key", fields),
+        // The id must be a string: a JSON number of 16 digits is not exact, and two ids could become one.
+        String id = message.get("call") instanceof String text ? text : "";
+        require(CALL_ID.matcher(id).matches(), "call is not of the form " + CALL_ID);
+        String number = text(fields, "key");
+        require(NUMBER.matcher(number).matches(), "key is not of the form " + NUMBER);
+        return new Request(id, className, classIndex, number,
                 text(message, "desc").getBytes(StandardCharsets.ISO_8859_1),
                 now + (long) (Math.min(remainingMs, MAX_REMAINING_MS) * MICROS_PER_MS),
                 wholeNumber("dest", extras.get("dest"), 0), width(extras.get("width"), classes.get(classIndex)),
@@ -73,13 +78,6 @@
         throw new InvalidOfferException("unknown class");
     }
 
-    private static String matching(Pattern pattern, String name, Map<?, ?> fields) throws InvalidOfferException {
-        Object value = fields.get(name);
-        String text = value == null ? "" : value instanceof String s ? s : null;
-        require(text != null && pattern.matcher(text).matches(), name + " is not of the form " + pattern);
-        return text;
-    }
-
     /** The number of circuits follows from the class; a caller that names another one is mistaken about its call. */
     private static double width(String text, CallClass callClass) throws InvalidOfferException {
         require(text == null || finite("width", text) == callClass.width(), "width is not that of the class");
--- a/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
+++ b/src/test/java/wingspread/front/jsonl/JsonlFrontTest.java
@@ -210,6 +210,10 @@
         assertEquals(1, offered.request().destination());
         assertEquals(-1, offered.request().via());
         assertEquals("00FF", offered.request().number());
+        // Fields may be strings or numbers.
+        caller.send("{\"op\":\"offer\"," + fields(CALL_B, "7", "plain", "1500", "dest:1").replace("\"7\"", "7")
+                + ",\"desc\":\"\"}\n");
+        assertEquals("7", nextEvent(Event.Offered.class).request().number());
     }
 
     /**
