--- a/src/main/java/wingspread/directory/DirectoryClient.java
+++ b/src/main/java/wingspread/directory/DirectoryClient.java
@@ -162,8 +162,9 @@
     private void handleList(long now, DnsMessage message) throws InvalidInputException {
         Roster.Update update = roster.applyResponse(message);
         for (DirectoryEntry change : update.changes()) {
-            LOG.info("directory {}: exchange {} at {} is {}, started at {}", roster.serial(), change.uid(),
-                    change.endpoint(), change.exchange().readiness(), change.exchange().upSince());
+            LOG.info("directory {}: exchange {} at {} is {}, started at {}, place={}", roster.serial(), change.uid(),
+                    change.endpoint(), change.exchange().readiness(), change.exchange().upSince(),
+                    change.exchange().place());
         }
         if (!update.changes().isEmpty()) {
             listener.accept(ListKind.DELTA, update.changes());
