Take an exchange's attributes only from an answer that states all of them

Cause: callers in transit to exchange 0 were connected to an exchange that joined while the directory's answers were cut short. An answer about its host without a TXT record counted as proof that it has no attributes, and each absent attribute as 0: place 0, started long ago. Its list then counted as applied, so that the whole answers after it changed nothing. Change: HostAttributes exists only with kind, cell and start time from one message; nothing marks a host as having none. An exchange that lacks them waits for a query about its host or the next whole list. DirectoryDelayTest's stand-in stated the kind alone, which PROTOCOL never does; it states all three, every bound as before. Ruled out: a wrong route for a known exchange, by the place in the log.

--- a/src/main/java/wingspread/directory/DirectoryClient.java
+++ b/src/main/java/wingspread/directory/DirectoryClient.java
@@ -146,13 +146,9 @@
         handleList(now, message);
     }
 
-    private void handleHostResponse(String host, DnsMessage message) {
-        if (message.responseCode() != 0) {
-            return;
-        }
-        roster.addHostRecords(host, message);
-        if (message.questionType() == DnsMessage.TXT) {
-            roster.markWithoutAttributes(host);
+    private void handleHostResponse(String host, DnsMessage message) throws InvalidInputException {
+        if (message.responseCode() == 0) {
+            roster.addHostRecords(host, message);
         }
     }
 
--- a/src/main/java/wingspread/directory/Roster.java
+++ b/src/main/java/wingspread/directory/Roster.java
@@ -27,6 +27,8 @@
 final class Roster {
     /** Maximum number of individually queried hosts that are kept; the oldest entry is evicted. */
     private static final int MAX_RESOLVED_HOSTS = 4_096;
+    /** The weight of an SRV record is ten times that of the exchange. */
+    private static final double WEIGHT_SCALE = 10.0;
 
     private final List<String> zones;
     private final List<String> kinds;
@@ -38,12 +40,6 @@
     /** Highest serial number of any response, including truncated and incomplete ones. */
     private long newestSerial;
 
-    /** The address and the TXT attributes of a host; each is null while it is unknown. */
-    private static final class HostRecords {
-        byte[] address;
-        Map<String, String> attributes;
-    }
-
     /**
      * The result of applying a response.
      *
@@ -112,19 +108,21 @@
         };
         return entry(String.valueOf(map.get("uid")).toLowerCase(Locale.ROOT),
                 NodeConfig.address(String.valueOf(map.get("endpoint")), "known.endpoint"),
-                String.valueOf(map.get("az")), String.valueOf(map.get("model")), numberOrZero(map.get("pod_group")),
-                readiness, numberOrZero(map.get("capacity_hint")), (long) numberOrZero(map.get("boot_ms")));
+                String.valueOf(map.get("az")), new HostAttributes(String.valueOf(map.get("model")),
+                        (int) numberOrZero(map.get("pod_group")), (long) numberOrZero(map.get("boot_ms"))),
+                readiness, numberOrZero(map.get("capacity_hint")));
     }
 
     private static double numberOrZero(Object value) {
         return value instanceof Double d ? d : 0;
     }
 
-    private DirectoryEntry entry(String uid, InetSocketAddress endpoint, String zone, String kind, double cell,
-            Readiness readiness, double weight, long startedMs) {
+    private DirectoryEntry entry(String uid, InetSocketAddress endpoint, String zone, HostAttributes attributes,
+            Readiness readiness, double weight) {
         long number = exchangeNumbers.computeIfAbsent(uid, u -> ++lastNumber);
         return new DirectoryEntry(uid, endpoint, new Exchange(number, Math.max(0, zones.indexOf(zone)),
-                Math.max(0, kinds.indexOf(kind)), (int) cell, readiness, weight, startedMs * 1_000));
+                Math.max(0, kinds.indexOf(attributes.kind())), attributes.cell(), readiness, weight,
+                attributes.startedMs() * 1_000));
     }
 
     /**
@@ -141,8 +139,7 @@
         if (newSerial <= serial || newSerial < newestSerial) {
             return new Update(List.of(), Set.of());
         }
-        Map<String, HostRecords> hosts = new HashMap<>();
-        collectHostRecords(message, hosts);
+        Map<String, HostRecords> hosts = HostRecords.collect(message);
         Set<String> listedUids = new HashSet<>();
         Set<String> incompleteHosts = new LinkedHashSet<>();
         List<DirectoryEntry> changes = new ArrayList<>();
@@ -204,87 +201,44 @@
 
     /** Returns the types of the records still unknown for a host that was listed without them. */
     List<Integer> missingRecordTypes(String host) {
-        HostRecords known = resolvedHosts.getOrDefault(host, new HostRecords());
-        List<Integer> out = new ArrayList<>();
-        if (known.address == null) {
-            out.add(DnsMessage.A);
-        }
-        if (known.attributes == null) {
-            out.add(DnsMessage.TXT);
-        }
-        return out;
-    }
-
-    /** Adds the records from the response to a query for one host. */
-    void addHostRecords(String host, DnsMessage message) {
-        while (resolvedHosts.size() >= MAX_RESOLVED_HOSTS) {
-            resolvedHosts.remove(resolvedHosts.keySet().iterator().next());
-        }
-        Map<String, HostRecords> hosts = new HashMap<>();
-        hosts.put(host, resolvedHosts.computeIfAbsent(host, h -> new HostRecords()));
-        collectHostRecords(message, hosts);
+        return resolvedHosts.getOrDefault(host, HostRecords.UNKNOWN).missingTypes();
     }
 
     /**
-     * Records that a host has no TXT attributes if the response to a query for them held none, so that they are not
-     * queried again.
+     * Adds the records from the response to a query for one host. What the response lacks stays unknown, since it may
+     * have been cut short.
+     *
+     * @throws InvalidInputException if an attribute is malformed; nothing is added then
      */
-    void markWithoutAttributes(String host) {
-        HostRecords known = resolvedHosts.get(host);
-        if (known != null && known.attributes == null) {
-            known.attributes = Map.of();
-        }
-    }
-
-    private static void collectHostRecords(DnsMessage message, Map<String, HostRecords> hosts) {
-        for (DnsMessage.Record record : message.records()) {
-            if (record instanceof DnsMessage.Address address) {
-                hosts.computeIfAbsent(address.name(), n -> new HostRecords()).address = address.bytes();
-            } else if (record instanceof DnsMessage.Text textRecord) {
-                HostRecords host = hosts.computeIfAbsent(textRecord.name(), n -> new HostRecords());
-                Map<String, String> attributes = new HashMap<>(host.attributes == null ? Map.of() : host.attributes);
-                for (String text : textRecord.texts()) {
-                    int separator = text.indexOf('=');
-                    attributes.put(separator < 0 ? text : text.substring(0, separator), text.substring(separator + 1));
-                }
-                host.attributes = attributes;
-            }
+    void addHostRecords(String host, DnsMessage message) throws InvalidInputException {
+        HostRecords stated = HostRecords.collect(message).getOrDefault(host, HostRecords.UNKNOWN);
+        HostRecords known = resolvedHosts.getOrDefault(host, HostRecords.UNKNOWN);
+        while (resolvedHosts.size() >= MAX_RESOLVED_HOSTS) {
+            resolvedHosts.remove(resolvedHosts.keySet().iterator().next());
         }
+        resolvedHosts.put(host, stated.orElse(known));
     }
 
     /** Returns the exchange of an SRV record, or null if its address or attributes are unknown. */
     private DirectoryEntry entry(String uid, DnsMessage.Srv srv, Map<String, HostRecords> hosts)
             throws InvalidInputException {
-        HostRecords inResponse = hosts.getOrDefault(srv.target(), new HostRecords());
-        HostRecords resolved = resolvedHosts.getOrDefault(srv.target(), new HostRecords());
+        HostRecords stated = hosts.getOrDefault(srv.target(), HostRecords.UNKNOWN)
+                .orElse(resolvedHosts.getOrDefault(srv.target(), HostRecords.UNKNOWN));
         DirectoryEntry previous = entries.get(uid);
-        Readiness readiness = srv.priority() == 0 ? Readiness.READY : Readiness.DRAINING;
-        byte[] address = inResponse.address != null ? inResponse.address : resolved.address;
-        Map<String, String> attributes = inResponse.attributes != null ? inResponse.attributes : resolved.attributes;
-        if (address == null && previous != null) {
-            address = previous.endpoint().getAddress().getAddress();
-        }
-        if (address == null || attributes == null && previous == null) {
+        if (!stated.isComplete() && previous == null) {
             return null;
         }
+        Readiness readiness = srv.priority() == 0 ? Readiness.READY : Readiness.DRAINING;
+        double weight = srv.weight() / WEIGHT_SCALE;
+        byte[] address = stated.address() != null ? stated.address() : previous.endpoint().getAddress().getAddress();
         InetSocketAddress endpoint = endpoint(address, srv.port());
-        if (attributes == null) {
+        if (stated.attributes() == null) {
             Exchange exchange = previous.exchange();
             return new DirectoryEntry(uid, endpoint, new Exchange(exchange.address(), exchange.zone(), exchange.kind(),
-                    exchange.place(), readiness, srv.weight() / 10.0, exchange.upSince()));
+                    exchange.place(), readiness, weight, exchange.upSince()));
         }
         String[] labels = srv.target().split("\\.");
-        return entry(uid, endpoint, labels.length > 1 ? labels[1] : "", attributes.getOrDefault("kind", ""),
-                longAttribute(attributes, "cell"), readiness, srv.weight() / 10.0,
-                longAttribute(attributes, "started"));
-    }
-
-    private static long longAttribute(Map<String, String> attributes, String name) throws InvalidInputException {
-        try {
-            return Long.parseLong(attributes.getOrDefault(name, "0"));
-        } catch (NumberFormatException e) {
-            throw new InvalidInputException("DNS: " + name + " is not a number");
-        }
+        return entry(uid, endpoint, labels.length > 1 ? labels[1] : "", stated.attributes(), readiness, weight);
     }
 
     private static InetSocketAddress endpoint(byte[] address, int port) throws InvalidInputException {
--- a/src/test/java/wingspread/directory/DirectoryDelayTest.java
+++ b/src/test/java/wingspread/directory/DirectoryDelayTest.java
@@ -129,9 +129,10 @@
                 boolean address = query[query.length - 3] == 1;
                 u16(out, 0x8400, 1, 1, 0, 0);
                 out.write(query, 12, query.length - 12);
-                u16(out, 0xc00c, address ? 1 : 16, 1, 0, 0, address ? 4 : 9);
-                out.writeBytes(address ? new byte[] {127, 0, 0, 1}
-                        : "\u0008kind=std".getBytes(StandardCharsets.US_ASCII));
+                byte[] data = address ? new byte[] {127, 0, 0, 1}
+                        : "\u0008kind=std\u0006cell=2\u0009started=7".getBytes(StandardCharsets.US_ASCII);
+                u16(out, 0xc00c, address ? 1 : 16, 1, 0, 0, data.length);
+                out.writeBytes(data);
             }
             return out.toByteArray();
         }
--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -36,6 +36,10 @@
 /** The directory client: parsing of responses, changes of the list, and queries over UDP and TCP. */
 class DirectoryTest {
     private static final int NAME_OFFSET = 12;
+    private static final int ADDITIONAL_COUNT_OFFSET = 11;
+    private static final int ADDRESS_RECORD_BYTES = 16;
+    /** Length of the address and the TXT record at the end of a response that lists one exchange. */
+    private static final int HOST_RECORD_BYTES = ADDRESS_RECORD_BYTES + 38;
 
     /**
      * Returns a response with compressed names: one exchange if {@code listed}, and the serial number in the authority
@@ -66,6 +70,32 @@
         return out.toByteArray();
     }
 
+    /** Returns a response that lists one exchange and lacks the additional records, as RFC 2181, section 9, allows. */
+    private static byte[] responseWithoutHosts(int id, int serial) {
+        byte[] whole = response(id, 0, serial, true);
+        byte[] part = Arrays.copyOf(whole, whole.length - HOST_RECORD_BYTES);
+        part[ADDITIONAL_COUNT_OFFSET] = 0;
+        return part;
+    }
+
+    /** Returns the response to a query about one host, cut short before its record or whole. */
+    private static byte[] hostResponse(byte[] query, boolean cutShort) {
+        boolean forAddress = query[query.length - 3] == DnsMessage.A;
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        u16(out, u16(query), cutShort ? 0x8600 : 0x8400, 1, cutShort ? 0 : 1, 0, 0);
+        out.write(query, NAME_OFFSET, query.length - NAME_OFFSET);
+        if (!cutShort) {
+            byte[] records = response(0, 0, 0, true);
+            int addressAt = records.length - HOST_RECORD_BYTES;
+            int textAt = addressAt + ADDRESS_RECORD_BYTES;
+            byte[] record = Arrays.copyOfRange(records, forAddress ? addressAt : textAt,
+                    forAddress ? textAt : records.length);
+            record[1] = NAME_OFFSET;
+            out.writeBytes(record);
+        }
+        return out.toByteArray();
+    }
+
     private static void u16(ByteArrayOutputStream out, int... values) {
         for (int value : values) {
             out.write(value >> 8);
@@ -247,6 +277,60 @@
         assertEquals(List.of(), states(roster.applyResponse(list(2, false))));
     }
 
+    /** The records of an answer to the query for the attributes of one host, cut short in different ways. */
+    private static List<List<DnsMessage.Record>> incompleteAttributes() {
+        String host = "b.east.hosts";
+        return List.of(List.of(), List.of(new DnsMessage.Text(host, List.of())),
+                List.of(new DnsMessage.Text(host, List.of("kind=std"))),
+                List.of(new DnsMessage.Text(host, List.of("kind=std", "started=7"))),
+                List.of(new DnsMessage.Text(host, List.of("cell=2", "started=7"))),
+                List.of(new DnsMessage.Text(host, List.of("kind=std", "cell=2"))),
+                List.of(new DnsMessage.Text(host, List.of("kind=std", "cell", "started"))),
+                List.of(attributes("c")), List.of(new DnsMessage.Soa(3)));
+    }
+
+    /**
+     * Guards against transit calls sent to another exchange than their destination: an exchange whose attributes had
+     * been cut off counted as the one at place 0, and whole lists with the same serial number did not correct it.
+     */
+    @Test
+    void neverAddsExchangeWithAttributesThatNoAnswerStated() throws InvalidInputException {
+        DnsMessage withoutHosts = list(2, false, srv("b", 0));
+        roster.applyResponse(withoutHosts);
+        roster.addHostRecords("b.east.hosts", new DnsMessage(1, 0, false, DnsMessage.A, List.of(address("b"))));
+        for (boolean truncated : List.of(true, false)) {
+            for (List<DnsMessage.Record> records : incompleteAttributes()) {
+                roster.addHostRecords("b.east.hosts", new DnsMessage(2, 0, truncated, DnsMessage.TXT, records));
+                assertEquals(List.of(DnsMessage.TXT), roster.missingRecordTypes("b.east.hosts"), records::toString);
+                assertEquals(List.of(), states(roster.applyResponse(withoutHosts)), records::toString);
+            }
+        }
+        assertEquals(List.of(),
+                states(roster.applyResponse(list(2, true, srv("b", 0), new DnsMessage.Text("b.east.hosts",
+                        List.of("kind=std"))))));
+        assertEquals(List.of("b 2 READY"),
+                states(roster.applyResponse(list(2, false, srv("b", 0), address("b"), attributes("b")))));
+    }
+
+    /**
+     * Guards against transit calls sent to another exchange than their destination: the answer to the query for a
+     * host's attributes was cut short, and the exchange counted as the one at place 0.
+     */
+    @Test
+    void reportsNewExchangeOnlyOnceItsAttributesHaveArrivedWhole() {
+        receive(responseWithoutHosts(queryList(), 5));
+        for (boolean cutShort : List.of(true, false)) {
+            List<byte[]> hostQueries = List.copyOf(queries.subList(queries.size() - (cutShort ? 2 : 1),
+                    queries.size()));
+            hostQueries.forEach(query -> receive(hostResponse(query, cutShort
+                    && query[query.length - 3] == DnsMessage.TXT)));
+            assertEquals(List.of(), reported);
+            now += 2 * DirectoryClient.QUERY_INTERVAL_MICROS;
+            receive(responseWithoutHosts(queryList(), 5));
+        }
+        assertEquals(List.of(ListKind.DELTA + " s-1 3868 1 1 2 " + Readiness.READY + " 7000"), reported);
+    }
+
     private static DnsMessage.Text startedAt(String uid, long milliseconds) {
         return new DnsMessage.Text(uid + ".east.hosts", List.of("kind=std", "cell=3", "started=" + milliseconds));
     }
