Guard against a list refused for good by one malformed answer about a host

Cause: the attributes of a host that was asked for alone were kept as text and read as numbers with each list. One answer with 'cell=x' made every later list unreadable, and the host was never asked for again, since its attributes counted as known.

--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -331,6 +331,25 @@
         assertEquals(List.of(ListKind.DELTA + " s-1 3868 1 1 2 " + Readiness.READY + " 7000"), reported);
     }
 
+    /** Guards against a list that is rejected for good because of one malformed answer about a host. */
+    @Test
+    void ignoresHostAnswerWithMalformedAttributes() throws InvalidInputException {
+        DnsMessage withoutHosts = list(2, false, srv("b", 0));
+        roster.applyResponse(withoutHosts);
+        for (String malformed : List.of("cell=x", "cell=-1", "cell=2147483648", "started=-1",
+                "started=9223372036854775807", "started=")) {
+            List<String> texts = new ArrayList<>(List.of("kind=std", "cell=2", "started=7"));
+            texts.add(malformed);
+            DnsMessage answer = new DnsMessage(2, 0, false, DnsMessage.TXT,
+                    List.of(address("b"), new DnsMessage.Text("b.east.hosts", texts)));
+            assertThrows(InvalidInputException.class, () -> roster.addHostRecords("b.east.hosts", answer), malformed);
+            assertEquals(List.of(), states(roster.applyResponse(withoutHosts)));
+        }
+        roster.addHostRecords("b.east.hosts",
+                new DnsMessage(3, 0, false, DnsMessage.TXT, List.of(address("b"), attributes("b"))));
+        assertEquals(List.of("b 2 READY"), states(roster.applyResponse(withoutHosts)));
+    }
+
     private static DnsMessage.Text startedAt(String uid, long milliseconds) {
         return new DnsMessage.Text(uid + ".east.hosts", List.of("kind=std", "cell=3", "started=" + milliseconds));
     }
