Change nothing by a list of the directory without its serial number

Cause: a truncated list may be cut before its SOA record, and was then applied as the newest of all. Overtaken by a newer one it brought back an exchange that had gone, drained ready ones and moved others to former addresses: calls went to an exchange told gone. An address in a truncated list that has its number is taken from an exchange that it does not name, whatever their start times, since nothing older is applied. Ruled out: to take only drains from it, as it may be older than a return to ready.

--- a/src/main/java/wingspread/directory/Roster.java
+++ b/src/main/java/wingspread/directory/Roster.java
@@ -126,16 +126,14 @@
     }
 
     /**
-     * Applies a list. A response that was overtaken by a later one is ignored: its serial number is lower. A truncated
-     * response may lack the serial number and is then applied as if it were new; but as it may be the older one, it
-     * does not change a draining exchange back to ready.
+     * Applies a list. A response that was overtaken by a later one is ignored: its serial number is lower. So is one
+     * without a serial number, which a truncated response may lack, since it may be the older one.
      *
      * @throws InvalidInputException if a record is malformed; the list is then unchanged
      */
     Update applyResponse(DnsMessage message) throws InvalidInputException {
         long newSerial = message.records().stream().filter(DnsMessage.Soa.class::isInstance)
-                .mapToLong(r -> ((DnsMessage.Soa) r).serial()).max().orElse(message.truncated() ? Long.MAX_VALUE : -1);
-        boolean hasSerial = newSerial < Long.MAX_VALUE;
+                .mapToLong(r -> ((DnsMessage.Soa) r).serial()).max().orElse(-1);
         if (newSerial <= serial || newSerial < newestSerial) {
             return new Update(List.of(), Set.of());
         }
@@ -150,8 +148,7 @@
                 DirectoryEntry entry = entry(uid, srv, hosts);
                 if (entry == null) {
                     incompleteHosts.add(srv.target());
-                } else if (!entry.sameAs(entries.get(uid)) && (hasSerial || !resumesFromDraining(entry))
-                        && !isAddressOfLaterExchange(entry)) {
+                } else if (!entry.sameAs(entries.get(uid))) {
                     changes.add(entry);
                 }
             }
@@ -167,38 +164,23 @@
             // While hosts are incomplete, the serial number is kept so that the same list is applied again.
             serial = incompleteHosts.isEmpty() ? newSerial : serial;
         }
-        newestSerial = hasSerial ? newSerial : newestSerial;
+        newestSerial = newSerial;
         changes.forEach(this::store);
         return new Update(changes, incompleteHosts);
     }
 
-    /** Whether an exchange that started later has the address of an exchange that is not listed yet. */
-    private boolean isAddressOfLaterExchange(DirectoryEntry entry) {
-        return !entries.containsKey(entry.uid())
-                && entries.values().stream().anyMatch(other -> isSuccessor(other, entry));
-    }
-
     /**
      * Returns as removed the exchanges that a truncated list does not name, and whose address belongs by it to another
-     * exchange that started later: two exchanges never have one address at a time.
+     * exchange: two exchanges never have one address at a time.
      */
     private List<DirectoryEntry> removedPredecessors(List<DirectoryEntry> changes, Set<String> listedUids) {
-        return entries.values().stream().filter(old -> !listedUids.contains(old.uid()))
-                .filter(old -> changes.stream().anyMatch(entry -> isSuccessor(entry, old)))
+        Set<InetSocketAddress> taken = new HashSet<>();
+        changes.forEach(entry -> taken.add(entry.endpoint()));
+        return entries.values().stream()
+                .filter(old -> !listedUids.contains(old.uid()) && taken.contains(old.endpoint()))
                 .map(DirectoryEntry::asRemoved).toList();
     }
 
-    private static boolean isSuccessor(DirectoryEntry entry, DirectoryEntry earlier) {
-        return entry.endpoint().equals(earlier.endpoint()) && !entry.uid().equals(earlier.uid())
-                && entry.exchange().upSince() > earlier.exchange().upSince();
-    }
-
-    private boolean resumesFromDraining(DirectoryEntry entry) {
-        DirectoryEntry previous = entries.get(entry.uid());
-        return previous != null && previous.exchange().readiness() == Readiness.DRAINING
-                && entry.exchange().readiness() == Readiness.READY;
-    }
-
     /** Returns the types of the records still unknown for a host that was listed without them. */
     List<Integer> missingRecordTypes(String host) {
         return resolvedHosts.getOrDefault(host, HostRecords.UNKNOWN).missingTypes();
