Correct an exchange's address and attributes that a list came without

Cause: a list without the hosts of known exchanges counted as applied under its number, so whole lists of the same number no longer told a new start time or address of an exchange that had returned: it counted as warm, or was sought where it had been. What a query about a host had returned once went before later lists for good, and late answers from before a host left its list counted once it had returned. Change: Roster keeps the hosts awaited since the last whole list; answers of the same number state those alone, queries ask for them after those of unknown exchanges, and what is older than a list is dropped with it. Roster's comment has one rule for what an answer may change. Ruled out: to hold a list's number back until each host is stated, since a list cut again and again would be applied again and again; to apply lists of the same number in full, since one with no exchange in it would then remove them all.

--- a/src/main/java/wingspread/directory/DirectoryClient.java
+++ b/src/main/java/wingspread/directory/DirectoryClient.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wingspread.control.CallControl.ListKind;
@@ -156,7 +157,11 @@
      * Applies a list. Exchanges missing from a complete list are removed; those missing from a truncated one are kept.
      */
     private void handleList(long now, DnsMessage message) throws InvalidInputException {
+        long previousSerial = roster.serial();
         Roster.Update update = roster.applyResponse(message);
+        if (roster.serial() != previousSerial) {
+            dropOutdatedHostQueries(update);
+        }
         for (DirectoryEntry change : update.changes()) {
             LOG.info("directory {}: exchange {} at {} is {}, started at {}, place={}", roster.serial(), change.uid(),
                     change.endpoint(), change.exchange().readiness(), change.exchange().upSince(),
@@ -169,16 +174,33 @@
             reportFault("TRUNCATED", message.records().size()
                     + " records; exchanges missing from them are kept unchanged");
             queryListOverTcp(now);
-        } else if (!update.incompleteHosts().isEmpty()) {
+            return;
+        }
+        if (update.incompleteHosts().isEmpty()) {
+            reportFault("", "");
+        } else {
             reportFault("LACKING", update.incompleteHosts().size()
                     + " hosts without address or attributes, for example "
                     + update.incompleteHosts().iterator().next());
-            hostQueryTimes.values().removeIf(sentAt -> sentAt + HOST_QUERY_INTERVAL_MICROS <= now);
-            update.incompleteHosts().stream().filter(host -> !hostQueryTimes.containsKey(host))
-                    .limit(MAX_HOSTS_PER_RESPONSE).forEach(host -> queryHost(host, now));
-        } else {
-            reportFault("", "");
         }
+        queryHosts(update, now);
+    }
+
+    /**
+     * Drops the queries for hosts sent before a new list, as their responses may be older than the list. Those for
+     * exchanges that are still unknown are kept, since what they return has not been stated differently since.
+     */
+    private void dropOutdatedHostQueries(Roster.Update update) {
+        pendingQueries.values()
+                .removeIf(query -> query.host() != null && !update.incompleteHosts().contains(query.host()));
+    }
+
+    /** Queries the hosts that are awaited, those of unknown exchanges first. */
+    private void queryHosts(Roster.Update update, long now) {
+        hostQueryTimes.values().removeIf(sentAt -> sentAt + HOST_QUERY_INTERVAL_MICROS <= now);
+        Stream.concat(update.incompleteHosts().stream(), update.outdatedHosts().stream())
+                .filter(host -> !hostQueryTimes.containsKey(host))
+                .limit(MAX_HOSTS_PER_RESPONSE).forEach(host -> queryHost(host, now));
     }
 
     private void queryHost(String host, long now) {
--- a/src/main/java/wingspread/directory/Roster.java
+++ b/src/main/java/wingspread/directory/Roster.java
@@ -19,14 +19,19 @@
 
 /**
  * The list of exchanges, to which the responses of the directory are applied. Exchanges are identified by their uid,
- * since an address may pass from one exchange to another; each uid is assigned a local number. A truncated response
- * adds and changes exchanges but removes none, except for one whose address has passed to an exchange that it names. An
- * SRV record whose address or attributes are missing keeps the values last known for the exchange, or is skipped until
- * they have been queried. Free of I/O.
+ * since an address may pass from one exchange to another; each uid is assigned a local number. Free of I/O.
+ *
+ * <p>What a response may change depends on its serial number, which is that of the last event it includes:
+ * <ul>
+ * <li>Without one, or lower than that of an earlier response: nothing.
+ * <li>The same as that of the last complete list: the address and the attributes of hosts that are awaited.
+ * <li>Higher: a complete list adds, changes and removes exchanges. A truncated one adds and changes those that it
+ *     names, and removes none, except for one whose address has passed to an exchange that it names.
+ * </ul>
+ * A host whose address or attributes are missing from a complete list is awaited until they have been stated. A known
+ * exchange keeps the values last stated meanwhile; a new one is added once both are known.
  */
 final class Roster {
-    /** Maximum number of individually queried hosts that are kept; the oldest entry is evicted. */
-    private static final int MAX_RESOLVED_HOSTS = 4_096;
     /** The weight of an SRV record is ten times that of the exchange. */
     private static final double WEIGHT_SCALE = 10.0;
 
@@ -34,19 +39,27 @@
     private final List<String> kinds;
     private final Map<String, Long> exchangeNumbers = new HashMap<>();
     private final Map<String, DirectoryEntry> entries = new LinkedHashMap<>();
-    private final Map<String, HostRecords> resolvedHosts = new LinkedHashMap<>();
+    /** Hosts of the last complete list that are awaited. */
+    private final Set<String> awaitedHosts = new LinkedHashSet<>();
+    /** What queries for awaited hosts have returned. */
+    private final Map<String, HostRecords> resolvedHosts = new HashMap<>();
     private long lastNumber;
+    /** Serial number of the last complete list. */
     private long serial;
-    /** Highest serial number of any response, including truncated and incomplete ones. */
+    /** Highest serial number of any response, including truncated ones. */
     private long newestSerial;
 
     /**
      * The result of applying a response.
      *
      * @param changes exchanges that were added, changed or removed
-     * @param incompleteHosts hosts whose address or attributes are neither in the response nor known
+     * @param incompleteHosts awaited hosts of exchanges that are not known yet
+     * @param outdatedHosts awaited hosts of exchanges that are known by what an earlier list stated
      */
-    record Update(List<DirectoryEntry> changes, Set<String> incompleteHosts) { }
+    record Update(List<DirectoryEntry> changes, Set<String> incompleteHosts, Set<String> outdatedHosts) {
+        /** The result of a response that changes nothing. */
+        static final Update NONE = new Update(List.of(), Set.of(), Set.of());
+    }
 
     Roster(List<String> zones, List<String> kinds) {
         this.zones = zones;
@@ -58,7 +71,7 @@
         return List.copyOf(entries.values());
     }
 
-    /** Returns the serial number of the last list that was applied completely. */
+    /** Returns the serial number of the last complete list. */
     long serial() {
         return serial;
     }
@@ -74,6 +87,7 @@
         }
         if (cached.get("rev") instanceof Double rev) {
             serial = rev.longValue();
+            newestSerial = serial;
         }
     }
 
@@ -126,47 +140,101 @@
     }
 
     /**
-     * Applies a list. A response that was overtaken by a later one is ignored: its serial number is lower. So is one
-     * without a serial number, which a truncated response may lack, since it may be the older one.
+     * Applies a list; see the class for what it may change.
      *
      * @throws InvalidInputException if a record is malformed; the list is then unchanged
      */
     Update applyResponse(DnsMessage message) throws InvalidInputException {
         long newSerial = message.records().stream().filter(DnsMessage.Soa.class::isInstance)
                 .mapToLong(r -> ((DnsMessage.Soa) r).serial()).max().orElse(-1);
-        if (newSerial <= serial || newSerial < newestSerial) {
-            return new Update(List.of(), Set.of());
+        if (newSerial < newestSerial || newSerial <= serial && awaitedHosts.isEmpty()) {
+            return Update.NONE;
+        }
+        Update update = newSerial == serial ? applyAwaitedHosts(message) : applyNewList(message, newSerial);
+        newestSerial = newSerial;
+        update.changes().forEach(this::store);
+        return update;
+    }
+
+    /** Applies what a response with the serial number of the last complete list states about awaited hosts. */
+    private Update applyAwaitedHosts(DnsMessage message) throws InvalidInputException {
+        Map<String, HostRecords> hosts = withResolved(HostRecords.collect(message));
+        Set<String> completeHosts = new HashSet<>();
+        List<DirectoryEntry> changes = new ArrayList<>();
+        for (DnsMessage.Srv srv : serviceRecords(message)) {
+            HostRecords host = hosts.getOrDefault(srv.target(), HostRecords.UNKNOWN);
+            if (awaitedHosts.contains(srv.target()) && host.isComplete()) {
+                addIfChanged(entry(srv, host), changes);
+                completeHosts.add(srv.target());
+            }
         }
-        Map<String, HostRecords> hosts = HostRecords.collect(message);
+        awaitedHosts.removeAll(completeHosts);
+        resolvedHosts.keySet().removeAll(completeHosts);
+        return update(changes);
+    }
+
+    private Update applyNewList(DnsMessage message, long newSerial) throws InvalidInputException {
+        Map<String, HostRecords> stated = HostRecords.collect(message);
+        // What was resolved for an earlier list may be outdated; for an unknown exchange it is all there is.
+        resolvedHosts.keySet().removeIf(host -> entries.containsKey(uid(host)));
+        Map<String, HostRecords> hosts = withResolved(stated);
         Set<String> listedUids = new HashSet<>();
         Set<String> incompleteHosts = new LinkedHashSet<>();
         List<DirectoryEntry> changes = new ArrayList<>();
-        for (DnsMessage.Record record : message.records()) {
-            if (record instanceof DnsMessage.Srv srv) {
-                String uid = srv.target().split("\\.")[0];
-                listedUids.add(uid);
-                DirectoryEntry entry = entry(uid, srv, hosts);
-                if (entry == null) {
-                    incompleteHosts.add(srv.target());
-                } else if (!entry.sameAs(entries.get(uid))) {
-                    changes.add(entry);
-                }
+        for (DnsMessage.Srv srv : serviceRecords(message)) {
+            HostRecords host = hosts.getOrDefault(srv.target(), HostRecords.UNKNOWN);
+            listedUids.add(uid(srv.target()));
+            if (!host.isComplete()) {
+                incompleteHosts.add(srv.target());
+            }
+            if (host.isComplete() || entries.containsKey(uid(srv.target()))) {
+                addIfChanged(entry(srv, host), changes);
             }
         }
         if (message.truncated()) {
             changes.addAll(removedPredecessors(changes, listedUids));
-        } else {
-            for (DirectoryEntry old : entries.values()) {
-                if (!listedUids.contains(old.uid())) {
-                    changes.add(old.asRemoved());
-                }
-            }
-            // While hosts are incomplete, the serial number is kept so that the same list is applied again.
-            serial = incompleteHosts.isEmpty() ? newSerial : serial;
+            return new Update(changes, Set.of(), Set.of());
+        }
+        entries.values().stream().filter(old -> !listedUids.contains(old.uid())).map(DirectoryEntry::asRemoved)
+                .forEach(changes::add);
+        serial = newSerial;
+        awaitedHosts.clear();
+        awaitedHosts.addAll(incompleteHosts);
+        resolvedHosts.keySet().retainAll(awaitedHosts);
+        return update(changes);
+    }
+
+    /** Returns the records stated by a list, completed by what individual queries have returned. */
+    private Map<String, HostRecords> withResolved(Map<String, HostRecords> stated) {
+        Map<String, HostRecords> hosts = new HashMap<>(stated);
+        resolvedHosts.forEach((host, resolved) -> hosts.merge(host, resolved, HostRecords::orElse));
+        return hosts;
+    }
+
+    private static List<DnsMessage.Srv> serviceRecords(DnsMessage message) {
+        return message.records().stream().filter(DnsMessage.Srv.class::isInstance).map(DnsMessage.Srv.class::cast)
+                .toList();
+    }
+
+    /** Returns the uid of an exchange, which is the first label of its host name. */
+    private static String uid(String host) {
+        return host.split("\\.")[0];
+    }
+
+    private void addIfChanged(DirectoryEntry entry, List<DirectoryEntry> changes) {
+        if (!entry.sameAs(entries.get(entry.uid()))) {
+            changes.add(entry);
         }
-        newestSerial = newSerial;
-        changes.forEach(this::store);
-        return new Update(changes, incompleteHosts);
+    }
+
+    /** Returns the update with these changes, before they are stored. */
+    private Update update(List<DirectoryEntry> changes) {
+        Set<String> incompleteHosts = new LinkedHashSet<>();
+        Set<String> outdatedHosts = new LinkedHashSet<>();
+        for (String host : awaitedHosts) {
+            (entries.containsKey(uid(host)) ? outdatedHosts : incompleteHosts).add(host);
+        }
+        return new Update(changes, incompleteHosts, outdatedHosts);
     }
 
     /**
@@ -187,40 +255,37 @@
     }
 
     /**
-     * Adds the records from the response to a query for one host. What the response lacks stays unknown, since it may
-     * have been cut short.
+     * Adds the records from the response to a query for one host, if it is awaited. What the response lacks stays
+     * unknown, since it may have been cut short.
      *
      * @throws InvalidInputException if an attribute is malformed; nothing is added then
      */
     void addHostRecords(String host, DnsMessage message) throws InvalidInputException {
         HostRecords stated = HostRecords.collect(message).getOrDefault(host, HostRecords.UNKNOWN);
-        HostRecords known = resolvedHosts.getOrDefault(host, HostRecords.UNKNOWN);
-        while (resolvedHosts.size() >= MAX_RESOLVED_HOSTS) {
-            resolvedHosts.remove(resolvedHosts.keySet().iterator().next());
+        if (awaitedHosts.contains(host)) {
+            resolvedHosts.merge(host, stated, (known, newer) -> newer.orElse(known));
         }
-        resolvedHosts.put(host, stated.orElse(known));
     }
 
-    /** Returns the exchange of an SRV record, or null if its address or attributes are unknown. */
-    private DirectoryEntry entry(String uid, DnsMessage.Srv srv, Map<String, HostRecords> hosts)
-            throws InvalidInputException {
-        HostRecords stated = hosts.getOrDefault(srv.target(), HostRecords.UNKNOWN)
-                .orElse(resolvedHosts.getOrDefault(srv.target(), HostRecords.UNKNOWN));
+    /**
+     * Returns the exchange of an SRV record. What is unknown of its host is taken from the known exchange.
+     *
+     * @param host complete, unless the exchange is known
+     */
+    private DirectoryEntry entry(DnsMessage.Srv srv, HostRecords host) throws InvalidInputException {
+        String uid = uid(srv.target());
         DirectoryEntry previous = entries.get(uid);
-        if (!stated.isComplete() && previous == null) {
-            return null;
-        }
         Readiness readiness = srv.priority() == 0 ? Readiness.READY : Readiness.DRAINING;
         double weight = srv.weight() / WEIGHT_SCALE;
-        byte[] address = stated.address() != null ? stated.address() : previous.endpoint().getAddress().getAddress();
+        byte[] address = host.address() != null ? host.address() : previous.endpoint().getAddress().getAddress();
         InetSocketAddress endpoint = endpoint(address, srv.port());
-        if (stated.attributes() == null) {
+        if (host.attributes() == null) {
             Exchange exchange = previous.exchange();
             return new DirectoryEntry(uid, endpoint, new Exchange(exchange.address(), exchange.zone(), exchange.kind(),
                     exchange.place(), readiness, weight, exchange.upSince()));
         }
         String[] labels = srv.target().split("\\.");
-        return entry(uid, endpoint, labels.length > 1 ? labels[1] : "", stated.attributes(), readiness, weight);
+        return entry(uid, endpoint, labels.length > 1 ? labels[1] : "", host.attributes(), readiness, weight);
     }
 
     private static InetSocketAddress endpoint(byte[] address, int port) throws InvalidInputException {
--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -423,6 +423,77 @@
                 srvAt(5001, "drains", 0), srvAt(5005, "new", 0), address("new"), attributes("new")))));
     }
 
+    private static DnsMessage.Address movedAddress(String uid) {
+        return new DnsMessage.Address(uid + ".east.hosts", new byte[] {127, 0, 0, 8});
+    }
+
+    private static List<String> figures(Roster.Update update) {
+        return update.changes().stream().map(entry -> entry.uid() + " " + entry.endpoint().getAddress().getHostAddress()
+                + " started " + entry.exchange().upSince()).toList();
+    }
+
+    /**
+     * Guards against a cold exchange that counts as warm, or calls to its former address: it returned while lists came
+     * without their hosts, and whole lists with the same serial number no longer corrected what had been missing.
+     */
+    @Test
+    void takesHostOfKnownExchangeFromWholeListWithTheSameSerialNumber() throws InvalidInputException {
+        roster.applyResponse(list(1, false, srv("a", 0), address("a"), attributes("a"), srvAt(5001, "b", 0),
+                address("b"), attributes("b")));
+        Roster.Update update = roster.applyResponse(list(2, false, srv("a", 1), srvAt(5001, "b", 0)));
+        assertEquals(List.of("a 2 DRAINING"), states(update));
+        assertEquals(Set.of(), update.incompleteHosts());
+        assertEquals(Set.of("a.east.hosts", "b.east.hosts"), update.outdatedHosts());
+        // A truncated list states the host of a alone; the whole one that of b, and repeats what is known.
+        assertEquals(List.of("a 127.0.0.8 started 8000"),
+                figures(roster.applyResponse(list(2, true, srv("a", 1), movedAddress("a"), startedAt("a", 8)))));
+        update = roster.applyResponse(list(2, false, srv("a", 0), address("a"), attributes("a"), srvAt(5001, "b", 0),
+                address("b"), startedAt("b", 9)));
+        assertEquals(List.of("b 127.0.0.9 started 9000"), figures(update));
+        assertEquals(Set.of(), update.outdatedHosts());
+        assertEquals(List.of(), figures(roster.applyResponse(
+                list(2, false, srvAt(5001, "b", 0), movedAddress("b"), startedAt("b", 10)))));
+    }
+
+    /** Guards against what a query about a host returned once being taken for what a later list says of it. */
+    @Test
+    void forgetsWhatWasResolvedBeforeTheHostWasListedAnew() throws InvalidInputException {
+        DnsMessage resolved = new DnsMessage(2, 0, false, DnsMessage.TXT, List.of(address("b"), attributes("b")));
+        roster.applyResponse(list(2, false, srv("b", 0)));
+        roster.addHostRecords("b.east.hosts", resolved);
+        assertEquals(List.of("b 127.0.0.9 started 7000"), figures(roster.applyResponse(list(2, false, srv("b", 0)))));
+        assertEquals(List.of("b 127.0.0.8 started 8000"),
+                figures(roster.applyResponse(list(3, false, srv("b", 0), movedAddress("b"), startedAt("b", 8)))));
+        assertEquals(List.of(), figures(roster.applyResponse(list(4, false, srv("b", 0)))));
+        roster.addHostRecords("b.east.hosts", resolved);
+        Roster.Update newer = roster.applyResponse(list(5, false, srv("b", 0)));
+        assertEquals(List.of(), figures(newer));
+        assertEquals(Set.of("b.east.hosts"), newer.outdatedHosts());
+        assertEquals(List.of("b 3 GONE"), states(roster.applyResponse(list(6, false))));
+        // A late answer to a query from before the removal says nothing about the exchange that is listed now.
+        roster.addHostRecords("b.east.hosts", resolved);
+        Roster.Update returned = roster.applyResponse(list(7, false, srv("b", 0)));
+        assertEquals(List.of(), states(returned));
+        assertEquals(Set.of("b.east.hosts"), returned.incompleteHosts());
+    }
+
+    /** Guards against a late answer about a host, from before it left the list, that counts once it has returned. */
+    @Test
+    void ignoresLateAnswerAboutHostFromBeforeItReturned() {
+        receive(responseWithoutHosts(queryList(), 5));
+        List<byte[]> outdated = List.copyOf(queries.subList(queries.size() - 2, queries.size()));
+        receive(response(queryList(), 0, 6, false));
+        receive(responseWithoutHosts(queryList(), 7));
+        outdated.forEach(query -> receive(hostResponse(query, false)));
+        now += 2 * DirectoryClient.QUERY_INTERVAL_MICROS;
+        receive(responseWithoutHosts(queryList(), 7));
+        assertEquals(List.of(), reported);
+        List.copyOf(queries.subList(queries.size() - 2, queries.size()))
+                .forEach(query -> receive(hostResponse(query, false)));
+        receive(responseWithoutHosts(queryList(), 7));
+        assertEquals(List.of(ListKind.DELTA + " s-1 3868 1 1 2 " + Readiness.READY + " 7000"), reported);
+    }
+
     /** Guards against a directory that has moved (SIGHUP) or restarted and tells an older list. */
     @Test
     void keepsListWhileDirectoryThatHasMovedTellsOlderOnes() throws InvalidInputException {
