Match an answer of the directory by its question, not by its id alone

Cause: an answer under the id of another query was taken for that query's. That a host has no such record, which brings the newest serial number and no exchange, then passed for an empty list, and every exchange counted as gone. Change: the question that an answer repeats must be that of its query (RFC 5452, section 9.1); one that repeats none is matched by its id as before. Result: the new test failed before (one exchange reported GONE) and passes. Ruled out: to demand the question always, as RFC 1035 leaves it out of some errors.

--- a/src/main/java/wingspread/directory/DirectoryClient.java
+++ b/src/main/java/wingspread/directory/DirectoryClient.java
@@ -10,6 +10,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import wingspread.control.CallControl.ListKind;
+import wingspread.directory.DnsMessage.Question;
 import wingspread.net.InvalidInputException;
 
 /**
@@ -43,7 +44,7 @@
     private static final int MAX_PENDING_QUERIES = 8_192;
     /** Consecutive list queries without a response after which the directory is logged as unresponsive. */
     private static final int MAX_UNANSWERED_QUERIES = 8;
-    private static final String SERVICE = "_back._tcp.pool.lan";
+    private static final Question LIST_QUESTION = new Question("_back._tcp.pool.lan", DnsMessage.SRV);
     private static final Logger LOG = LoggerFactory.getLogger(Directory.class);
 
     /** Sends queries to the directory. */
@@ -58,10 +59,19 @@
     /**
      * A query that may still be answered.
      *
-     * @param host the host queried; null for a query for the list
+     * @param question the question for the list, or for the records of one type of a host
      * @param sentAt when the query was sent, in microseconds
      */
-    private record PendingQuery(String host, long sentAt) { }
+    private record PendingQuery(Question question, long sentAt) {
+        boolean isForList() {
+            return question == LIST_QUESTION;
+        }
+
+        /** Whether a response answers this query. One that repeats no question is matched by its id alone. */
+        boolean isAnsweredBy(DnsMessage response) {
+            return response.question() == null || question.sameAs(response.question());
+        }
+    }
 
     private final Roster roster;
     private final SplittableRandom random;
@@ -95,10 +105,11 @@
         if (++unansweredQueries > MAX_UNANSWERED_QUERIES) {
             reportFault("SILENT", "no response to " + MAX_UNANSWERED_QUERIES + " queries");
         }
-        transport.send(DnsMessage.query(registerQuery(null, now), SERVICE, DnsMessage.SRV));
+        transport.send(registerQuery(LIST_QUESTION, now));
     }
 
-    private int registerQuery(String host, long now) {
+    /** Registers a query as pending and returns its message. */
+    private byte[] registerQuery(Question question, long now) {
         Iterator<PendingQuery> oldest = pendingQueries.values().iterator();
         while (oldest.hasNext()) {
             if (oldest.next().sentAt() + RESPONSE_TIMEOUT_MICROS > now
@@ -111,11 +122,14 @@
         while (pendingQueries.containsKey(id)) {
             id = random.nextInt(1 << 16);
         }
-        pendingQueries.put(id, new PendingQuery(host, now));
-        return id;
+        pendingQueries.put(id, new PendingQuery(question, now));
+        return DnsMessage.query(id, question.name(), question.type());
     }
 
-    /** Handles a message received over UDP or TCP. A message that answers no pending query is ignored. */
+    /**
+     * Handles a message received over UDP or TCP. A message whose id or question is not that of a pending query is
+     * ignored (RFC 5452, section 9.1).
+     */
     void handleMessage(long now, byte[] bytes) {
         try {
             handleResponse(now, DnsMessage.parse(bytes));
@@ -131,12 +145,12 @@
 
     private void handleResponse(long now, DnsMessage message) throws InvalidInputException {
         PendingQuery query = pendingQueries.get(message.id());
-        if (query == null) {
+        if (query == null || !query.isAnsweredBy(message)) {
             return;
         }
-        if (query.host() != null) {
+        if (!query.isForList()) {
             pendingQueries.remove(message.id());
-            handleHostResponse(query.host(), message);
+            handleHostResponse(query.question().name(), message);
             return;
         }
         unansweredQueries = 0;
@@ -191,8 +205,8 @@
      * exchanges that are still unknown are kept, since what they return has not been stated differently since.
      */
     private void dropOutdatedHostQueries(Roster.Update update) {
-        pendingQueries.values()
-                .removeIf(query -> query.host() != null && !update.incompleteHosts().contains(query.host()));
+        pendingQueries.values().removeIf(query -> !query.isForList()
+                && !update.incompleteHosts().contains(query.question().name()));
     }
 
     /** Queries the hosts that are awaited, those of unknown exchanges first. */
@@ -206,14 +220,14 @@
     private void queryHost(String host, long now) {
         hostQueryTimes.put(host, now);
         for (int type : roster.missingRecordTypes(host)) {
-            transport.send(DnsMessage.query(registerQuery(host, now), host, type));
+            transport.send(registerQuery(new Question(host, type), now));
         }
     }
 
     private void queryListOverTcp(long now) {
         if (now >= tcpBusyUntil) {
             tcpBusyUntil = now + TCP_TIMEOUT_MICROS;
-            transport.sendOverTcp(DnsMessage.query(registerQuery(null, now), SERVICE, DnsMessage.SRV));
+            transport.sendOverTcp(registerQuery(LIST_QUESTION, now));
         }
     }
 
--- a/src/main/java/wingspread/directory/DnsMessage.java
+++ b/src/main/java/wingspread/directory/DnsMessage.java
@@ -15,10 +15,10 @@
  * @param id id of the query that this message answers
  * @param responseCode the response code (RCODE); 0 for no error
  * @param truncated whether the message is marked as truncated, so that records may be missing
- * @param questionType type of the records queried; 0 if the message repeats no question
+ * @param question the question that this message repeats; null if it repeats none
  * @param records the records of all sections, in their order
  */
-public record DnsMessage(int id, int responseCode, boolean truncated, int questionType,
+public record DnsMessage(int id, int responseCode, boolean truncated, DnsMessage.Question question,
         List<DnsMessage.Record> records) {
     static final int A = 1;
     private static final int SOA = 6;
@@ -30,6 +30,19 @@
     private static final int MAX_POINTERS = 32;
     private static final int MAX_NAME_LENGTH = 255;
 
+    /**
+     * The question of a query, which its response repeats.
+     *
+     * @param name the name queried, in lower case
+     * @param type type of the records queried
+     */
+    public record Question(String name, int type) {
+        /** Whether another question is the same; the generated {@code equals} of a record delays the start. */
+        boolean sameAs(Question other) {
+            return type == other.type && name.equals(other.name);
+        }
+    }
+
     /** A resource record of a response. */
     public sealed interface Record { }
 
@@ -74,17 +87,16 @@
         boolean truncated = (flags & TRUNCATED) != 0;
         int questions = in.u16();
         int count = in.u16() + in.u16() + in.u16();
-        int questionType = 0;
+        Question question = null;
         for (int i = 0; i < questions; i++) {
-            in.name();
-            questionType = in.u16();
+            question = new Question(in.name(), in.u16());
             in.skip(2);
         }
         List<Record> records = new ArrayList<>();
         for (int i = 0; i < count && !(truncated && in.atEnd()); i++) {
             in.record(records);
         }
-        return new DnsMessage(id, flags & 15, truncated, questionType, List.copyOf(records));
+        return new DnsMessage(id, flags & 15, truncated, question, List.copyOf(records));
     }
 
     /** Reads a message sequentially. */
--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -37,6 +37,8 @@
 class DirectoryTest {
     private static final int NAME_OFFSET = 12;
     private static final int ADDITIONAL_COUNT_OFFSET = 11;
+    /** Offset of the low byte of the type in the question for the list. */
+    private static final int QUESTION_TYPE_OFFSET = 34;
     private static final int ADDRESS_RECORD_BYTES = 16;
     /** Length of the address and the TXT record at the end of a response that lists one exchange. */
     private static final int HOST_RECORD_BYTES = ADDRESS_RECORD_BYTES + 38;
@@ -240,7 +242,7 @@
     private static DnsMessage list(int serial, boolean truncated, DnsMessage.Record... records) {
         List<DnsMessage.Record> all = new ArrayList<>(List.of(records));
         all.add(new DnsMessage.Soa(serial));
-        return new DnsMessage(99, 0, truncated, DnsMessage.SRV, all);
+        return new DnsMessage(99, 0, truncated, null, all);
     }
 
     private static DnsMessage.Srv srv(String uid, int priority) {
@@ -273,9 +275,9 @@
         Roster.Update update = roster.applyResponse(incompleteList);
         assertEquals(List.of("a 2 DRAINING"), states(update));
         assertEquals(Set.of("b.east.hosts"), update.incompleteHosts());
-        roster.addHostRecords("b.east.hosts", new DnsMessage(1, 0, false, DnsMessage.A, List.of(address("b"))));
+        roster.addHostRecords("b.east.hosts", new DnsMessage(1, 0, false, null, List.of(address("b"))));
         assertEquals(Set.of("b.east.hosts"), roster.applyResponse(incompleteList).incompleteHosts());
-        roster.addHostRecords("b.east.hosts", new DnsMessage(2, 0, false, DnsMessage.TXT, List.of(attributes("b"))));
+        roster.addHostRecords("b.east.hosts", new DnsMessage(2, 0, false, null, List.of(attributes("b"))));
         assertEquals(List.of("b 2 READY"), states(roster.applyResponse(incompleteList)));
         // Only now is the serial number of the list recorded, so that a list with the same number is ignored.
         assertEquals(List.of(), states(roster.applyResponse(list(2, false))));
@@ -301,10 +303,10 @@
     void neverAddsExchangeWithAttributesThatNoAnswerStated() throws InvalidInputException {
         DnsMessage withoutHosts = list(2, false, srv("b", 0));
         roster.applyResponse(withoutHosts);
-        roster.addHostRecords("b.east.hosts", new DnsMessage(1, 0, false, DnsMessage.A, List.of(address("b"))));
+        roster.addHostRecords("b.east.hosts", new DnsMessage(1, 0, false, null, List.of(address("b"))));
         for (boolean truncated : List.of(true, false)) {
             for (List<DnsMessage.Record> records : incompleteAttributes()) {
-                roster.addHostRecords("b.east.hosts", new DnsMessage(2, 0, truncated, DnsMessage.TXT, records));
+                roster.addHostRecords("b.east.hosts", new DnsMessage(2, 0, truncated, null, records));
                 assertEquals(List.of(DnsMessage.TXT), roster.missingRecordTypes("b.east.hosts"), records::toString);
                 assertEquals(List.of(), states(roster.applyResponse(withoutHosts)), records::toString);
             }
@@ -344,13 +346,13 @@
                 "started=9223372036854775807", "started=")) {
             List<String> texts = new ArrayList<>(List.of("kind=std", "cell=2", "started=7"));
             texts.add(malformed);
-            DnsMessage answer = new DnsMessage(2, 0, false, DnsMessage.TXT,
+            DnsMessage answer = new DnsMessage(2, 0, false, null,
                     List.of(address("b"), new DnsMessage.Text("b.east.hosts", texts)));
             assertThrows(InvalidInputException.class, () -> roster.addHostRecords("b.east.hosts", answer), malformed);
             assertEquals(List.of(), states(roster.applyResponse(withoutHosts)));
         }
         roster.addHostRecords("b.east.hosts",
-                new DnsMessage(3, 0, false, DnsMessage.TXT, List.of(address("b"), attributes("b"))));
+                new DnsMessage(3, 0, false, null, List.of(address("b"), attributes("b"))));
         assertEquals(List.of("b 2 READY"), states(roster.applyResponse(withoutHosts)));
     }
 
@@ -368,7 +370,7 @@
         assertEquals(List.of("b 3 READY", "a 2 GONE"),
                 states(roster.applyResponse(list(2, true, srv("b", 0), address("b"), startedAt("b", 8)))));
         // An older list, cut short before its serial number, does not bring the former one back to that address.
-        assertEquals(List.of(), states(roster.applyResponse(new DnsMessage(99, 0, true, DnsMessage.SRV,
+        assertEquals(List.of(), states(roster.applyResponse(new DnsMessage(99, 0, true, null,
                 List.of(srv("a", 0), address("a"), attributes("a"))))));
         assertEquals(List.of("b"), roster.entries().stream().map(DirectoryEntry::uid).toList());
         // The start time decides nothing: a newer list that names an exchange is right about its address.
@@ -386,7 +388,7 @@
         assertEquals(List.of("a 2 DRAINING"), states(roster.applyResponse(list(3, true, srv("a", 1)))));
         assertEquals(List.of(), states(roster.applyResponse(list(2, true, srv("a", 0)))));
         assertEquals(List.of(), states(roster.applyResponse(
-                new DnsMessage(99, 0, true, DnsMessage.SRV, List.of(srv("a", 0))))));
+                new DnsMessage(99, 0, true, null, List.of(srv("a", 0))))));
         assertEquals(List.of("a 2 READY"), states(roster.applyResponse(list(4, true, srv("a", 0)))));
     }
 
@@ -412,9 +414,9 @@
         assertEquals(List.of("drains 2 DRAINING", "gone 2 GONE"), states(roster.applyResponse(newest)));
         List<DirectoryEntry> expected = roster.entries();
         for (boolean truncated : List.of(true, false)) {
-            DnsMessage withoutSerial = new DnsMessage(99, 0, truncated, DnsMessage.SRV, List.of(older));
+            DnsMessage withoutSerial = new DnsMessage(99, 0, truncated, null, List.of(older));
             for (DnsMessage response : List.of(withoutSerial, list(8, truncated, older), list(0, truncated, older),
-                    new DnsMessage(99, 0, truncated, DnsMessage.SRV, List.of()))) {
+                    new DnsMessage(99, 0, truncated, null, List.of()))) {
                 assertEquals(List.of(), states(roster.applyResponse(response)), response::toString);
                 assertEquals(expected, roster.entries());
             }
@@ -458,7 +460,7 @@
     /** Guards against what a query about a host returned once being taken for what a later list says of it. */
     @Test
     void forgetsWhatWasResolvedBeforeTheHostWasListedAnew() throws InvalidInputException {
-        DnsMessage resolved = new DnsMessage(2, 0, false, DnsMessage.TXT, List.of(address("b"), attributes("b")));
+        DnsMessage resolved = new DnsMessage(2, 0, false, null, List.of(address("b"), attributes("b")));
         roster.applyResponse(list(2, false, srv("b", 0)));
         roster.addHostRecords("b.east.hosts", resolved);
         assertEquals(List.of("b 127.0.0.9 started 7000"), figures(roster.applyResponse(list(2, false, srv("b", 0)))));
@@ -494,6 +496,32 @@
         assertEquals(List.of(ListKind.DELTA + " s-1 3868 1 1 2 " + Readiness.READY + " 7000"), reported);
     }
 
+    /**
+     * Guards against the removal of every exchange: an answer under a wrong id, that a host has no such record, passed
+     * for a list of the zone's newest serial number without an exchange.
+     */
+    @Test
+    void ignoresAnswerWhoseQuestionIsNotThatOfItsQuery() throws InvalidInputException {
+        int id = loadCached();
+        byte[] emptyList = response(id, 0, 9, false);
+        byte[] noData = emptyList.clone();
+        noData[QUESTION_TYPE_OFFSET] = DnsMessage.TXT;
+        receive(noData);
+        byte[] otherName = emptyList.clone();
+        otherName[NAME_OFFSET + 1] = 'x';
+        receive(otherName);
+        assertEquals(1, reported.size());
+        // The list is answered under the id of a query for a host, which stays open for its own answer.
+        receive(responseWithoutHosts(queryList(), 5));
+        byte[] hostQuery = queries.get(queries.size() - 1);
+        receive(response(u16(hostQuery), 1, 9, true));
+        receive(hostResponse(hostQuery, false));
+        receive(hostResponse(queries.get(queries.size() - 2), false));
+        receive(responseWithoutHosts(queryList(), 5));
+        assertEquals(ListKind.DELTA + " s-1 3868 1 1 2 " + Readiness.READY + " 7000",
+                reported.get(reported.size() - 1));
+    }
+
     /** Guards against a directory that has moved (SIGHUP) or restarted and tells an older list. */
     @Test
     void keepsListWhileDirectoryThatHasMovedTellsOlderOnes() throws InvalidInputException {
