Ask over TCP for what a truncated answer about a host lacks

Cause: only lists were asked for again over TCP. A host whose attributes do not come whole over UDP stayed unknown, and a list marked as truncated that ends within a record was refused as malformed and not asked for over TCP at all. Change: a truncated answer without the record asked for is followed by a query over TCP, in the one slot of 1.1 s that lists use; a truncated message is read up to where it ends, wherever that is.

--- a/src/main/java/wingspread/directory/DirectoryClient.java
+++ b/src/main/java/wingspread/directory/DirectoryClient.java
@@ -15,11 +15,11 @@
 
 /**
  * Queries the directory and applies its responses to the list of exchanges. The list is queried at a fixed interval,
- * regardless of the outcome of earlier queries. A truncated response is queried again over TCP (RFC 7766), and hosts
- * that a response lists without their address or attributes are queried one by one. A fault in the responses is logged
- * once with a reason code, and its end is logged once. No query waits for the response to another, except that one TCP
- * query may be in progress for up to 1.1 s. A change is therefore reported well within 6 s of the directory having it
- * and being reachable.
+ * regardless of the outcome of earlier queries. What a truncated response lacks is queried again over TCP (RFC 7766),
+ * and hosts that a list names without their address or attributes are queried one by one. A fault in the responses is
+ * logged once with a reason code, and its end is logged once. No query waits for the response to another, except that
+ * one TCP query may be in progress for up to 1.1 s. A change is therefore reported well within 6 s of the directory
+ * having it and being reachable.
  *
  * <p>Times are microseconds on the host's clock. Free of I/O; confined to the loop.
  */
@@ -150,7 +150,7 @@
         }
         if (!query.isForList()) {
             pendingQueries.remove(message.id());
-            handleHostResponse(query.question().name(), message);
+            handleHostResponse(now, query.question(), message);
             return;
         }
         unansweredQueries = 0;
@@ -161,9 +161,13 @@
         handleList(now, message);
     }
 
-    private void handleHostResponse(String host, DnsMessage message) throws InvalidInputException {
-        if (message.responseCode() == 0) {
-            roster.addHostRecords(host, message);
+    private void handleHostResponse(long now, Question question, DnsMessage message) throws InvalidInputException {
+        if (message.responseCode() != 0) {
+            return;
+        }
+        roster.addHostRecords(question.name(), message);
+        if (message.truncated() && roster.missingRecordTypes(question.name()).contains(question.type())) {
+            queryOverTcp(question, now);
         }
     }
 
@@ -187,7 +191,7 @@
         if (message.truncated()) {
             reportFault("TRUNCATED", message.records().size()
                     + " records; exchanges missing from them are kept unchanged");
-            queryListOverTcp(now);
+            queryOverTcp(LIST_QUESTION, now);
             return;
         }
         if (update.incompleteHosts().isEmpty()) {
@@ -224,10 +228,10 @@
         }
     }
 
-    private void queryListOverTcp(long now) {
+    private void queryOverTcp(Question question, long now) {
         if (now >= tcpBusyUntil) {
             tcpBusyUntil = now + TCP_TIMEOUT_MICROS;
-            transport.sendOverTcp(registerQuery(LIST_QUESTION, now));
+            transport.sendOverTcp(registerQuery(question, now));
         }
     }
 
--- a/src/main/java/wingspread/directory/DnsMessage.java
+++ b/src/main/java/wingspread/directory/DnsMessage.java
@@ -72,8 +72,8 @@
     }
 
     /**
-     * Parses a response. A message that is marked as truncated may hold fewer records than its header announces, but
-     * must end at the end of a record.
+     * Parses a response. A message that is marked as truncated may end before or within a record; the records before
+     * its end are returned.
      *
      * @throws InvalidInputException if the message is malformed, or is cut short without being marked as truncated
      */
@@ -93,8 +93,14 @@
             in.skip(2);
         }
         List<Record> records = new ArrayList<>();
-        for (int i = 0; i < count && !(truncated && in.atEnd()); i++) {
-            in.record(records);
+        try {
+            for (int i = 0; i < count; i++) {
+                in.record(records);
+            }
+        } catch (InvalidInputException e) {
+            if (!truncated || !in.exceededEnd()) {
+                throw e;
+            }
         }
         return new DnsMessage(id, flags & 15, truncated, question, List.copyOf(records));
     }
@@ -103,19 +109,26 @@
     private static final class Reader {
         private final byte[] bytes;
         private int position;
+        private boolean exceededEnd;
 
         Reader(byte[] bytes) {
             this.bytes = bytes;
         }
 
-        boolean atEnd() {
-            return position == bytes.length;
+        /** Whether more was to be read than the message has. */
+        boolean exceededEnd() {
+            return exceededEnd;
         }
 
-        int u8() throws InvalidInputException {
-            if (position >= bytes.length) {
+        private void requireBytes(int length) throws InvalidInputException {
+            if (length > bytes.length - position) {
+                exceededEnd = true;
                 throw new InvalidInputException("DNS: unexpected end of message");
             }
+        }
+
+        int u8() throws InvalidInputException {
+            requireBytes(1);
             return bytes[position++] & 0xff;
         }
 
@@ -124,9 +137,7 @@
         }
 
         void skip(int length) throws InvalidInputException {
-            if (length > bytes.length - position) {
-                throw new InvalidInputException("DNS: unexpected end of message");
-            }
+            requireBytes(length);
             position += length;
         }
 
@@ -167,10 +178,8 @@
             int type = u16();
             skip(6);
             int length = u16();
+            requireBytes(length);
             int end = position + length;
-            if (end > bytes.length) {
-                throw new InvalidInputException("DNS: record extends past the end of the message");
-            }
             switch (type) {
                 case SRV -> out.add(new Srv(u16(), u16(), u16(), name()));
                 case A -> {
--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -39,6 +39,7 @@
     private static final int ADDITIONAL_COUNT_OFFSET = 11;
     /** Offset of the low byte of the type in the question for the list. */
     private static final int QUESTION_TYPE_OFFSET = 34;
+    private static final int QUESTION_END = QUESTION_TYPE_OFFSET + 3;
     private static final int ADDRESS_RECORD_BYTES = 16;
     /** Length of the address and the TXT record at the end of a response that lists one exchange. */
     private static final int HOST_RECORD_BYTES = ADDRESS_RECORD_BYTES + 38;
@@ -114,6 +115,7 @@
 
     private final List<String> reported = new ArrayList<>();
     private final List<byte[]> queries = new ArrayList<>();
+    private final List<byte[]> tcpQueries = new ArrayList<>();
     private long now = 1_000_000_000;
     private final DirectoryClient client = new DirectoryClient(new Roster(List.of("west", "east"), List.of("std")),
             new SplittableRandom(7), new DirectoryClient.Transport() {
@@ -124,7 +126,7 @@
 
                 @Override
                 public void sendOverTcp(byte[] query) {
-                    queries.add(query);
+                    tcpQueries.add(query);
                 }
             }, (kind, entries) -> entries.forEach(entry -> reported.add(kind + " " + entry.uid() + " "
                     + entry.endpoint().getPort() + " " + entry.exchange().address() + " "
@@ -522,6 +524,38 @@
                 reported.get(reported.size() - 1));
     }
 
+    /** Guards against an exchange that stays unknown while the directory answers in full over TCP alone. */
+    @Test
+    void asksOverTcpWhereTruncatedAnswerLacksTheRecord() throws InvalidInputException {
+        receive(responseWithoutHosts(queryList(), 5));
+        List<byte[]> overUdp = List.copyOf(queries.subList(queries.size() - 2, queries.size()));
+        overUdp.forEach(query -> receive(hostResponse(query, query[query.length - 3] == DnsMessage.TXT)));
+        assertEquals(1, tcpQueries.size());
+        byte[] overTcp = tcpQueries.get(0);
+        assertEquals(DnsMessage.TXT, overTcp[overTcp.length - 3]);
+        receive(hostResponse(overTcp, false));
+        receive(responseWithoutHosts(queryList(), 5));
+        assertEquals(List.of(ListKind.DELTA + " s-1 3868 1 1 2 " + Readiness.READY + " 7000"), reported);
+    }
+
+    /** Guards against a list that is never learnt: one truncated within a record was not asked for again. */
+    @Test
+    void asksOverTcpForListThatIsTruncatedWithinARecord() throws InvalidInputException {
+        loadCached();
+        int wholeLength = response(0, 1, 9, true).length;
+        for (int length = QUESTION_END; length < wholeLength; length++) {
+            tcpQueries.clear();
+            now += DirectoryClient.TCP_TIMEOUT_MICROS;
+            byte[] part = Arrays.copyOf(response(queryList(), 1, 9, true), length);
+            part[2] |= 2;
+            receive(part);
+            assertEquals(1, tcpQueries.size(), "of " + length + " bytes");
+        }
+        // What was whole counts; the attributes in the last record never were.
+        assertEquals(List.of(ListKind.CACHED + " s-1 3868 1 1 2 " + Readiness.READY + " 0",
+                ListKind.DELTA + " s-1 3868 1 1 2 " + Readiness.DRAINING + " 0"), reported);
+    }
+
     /** Guards against a directory that has moved (SIGHUP) or restarted and tells an older list. */
     @Test
     void keepsListWhileDirectoryThatHasMovedTellsOlderOnes() throws InvalidInputException {
