Give no defaults to the exchanges of the configuration's list

One without an address ended the task that opens the listener. Change: CachedList reads the list, keeps what a later notice leaves out and leaves out an exchange that lacks a field, with a log line; the directory's list then counts.

--- a/src/main/java/wingspread/directory/DirectoryClient.java
+++ b/src/main/java/wingspread/directory/DirectoryClient.java
@@ -95,8 +95,10 @@
     }
 
     /** Loads the cached list of exchanges from the configuration and reports it. */
-    void loadCached(Map<?, ?> cached) {
+    void loadCached(Map<?, ?> known) {
+        CachedList cached = CachedList.parse(known);
         roster.loadCached(cached);
+        cached.faults().forEach(fault -> LOG.error("cached exchange left out until the directory lists it: {}", fault));
         listener.accept(ListKind.CACHED, roster.entries());
     }
 
--- a/src/main/java/wingspread/directory/HostAttributes.java
+++ b/src/main/java/wingspread/directory/HostAttributes.java
@@ -15,7 +15,7 @@
     private static final String CELL = "cell";
     private static final String STARTED = "started";
     /** Latest start time that can be converted to microseconds. */
-    private static final long MAX_STARTED_MS = Long.MAX_VALUE / 1_000;
+    static final long MAX_STARTED_MS = Long.MAX_VALUE / 1_000;
 
     /**
      * Returns the attributes, or null if one of them is missing: an absent attribute has no default, since the records
--- a/src/main/java/wingspread/directory/Roster.java
+++ b/src/main/java/wingspread/directory/Roster.java
@@ -9,10 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import wingspread.config.NodeConfig;
 import wingspread.control.CallControl.Exchange;
 import wingspread.control.CallControl.Readiness;
 import wingspread.net.InvalidInputException;
@@ -76,32 +74,14 @@
         return serial;
     }
 
-    /** Loads the cached list from the configuration. */
-    void loadCached(Map<?, ?> cached) {
-        if (cached.get("notices") instanceof List<?> notices) {
-            for (Object notice : notices) {
-                if (notice instanceof Map<?, ?> map && map.get("pool") instanceof Map<?, ?> pool) {
-                    applyCached(pool);
-                }
-            }
-        }
-        if (cached.get("rev") instanceof Double rev) {
-            serial = rev.longValue();
-            newestSerial = serial;
-        }
-    }
-
-    private void applyCached(Map<?, ?> pool) {
-        if (Boolean.TRUE.equals(pool.get("all"))) {
-            entries.clear();
-        }
-        if (pool.get("targets") instanceof List<?> targets) {
-            for (Object target : targets) {
-                if (target instanceof Map<?, ?> map) {
-                    store(fromJson(map));
-                }
-            }
+    /** Loads the cached list; if exchanges were left out of it, the directory's list with its number still counts. */
+    void loadCached(CachedList cached) {
+        for (CachedList.CachedExchange exchange : cached.exchanges()) {
+            store(entry(exchange.uid(), exchange.endpoint(), exchange.zone(), exchange.attributes(),
+                    exchange.readiness(), exchange.weight()));
         }
+        newestSerial = cached.serial();
+        serial = cached.faults().isEmpty() ? cached.serial() : 0;
     }
 
     /** Stores or removes an exchange. Nothing is kept for a removed uid, as endless replacements would leak memory. */
@@ -114,23 +94,6 @@
         }
     }
 
-    private DirectoryEntry fromJson(Map<?, ?> map) {
-        Readiness readiness = switch (String.valueOf(map.get("state"))) {
-            case "up" -> Readiness.READY;
-            case "draining" -> Readiness.DRAINING;
-            default -> Readiness.GONE;
-        };
-        return entry(String.valueOf(map.get("uid")).toLowerCase(Locale.ROOT),
-                NodeConfig.address(String.valueOf(map.get("endpoint")), "known.endpoint"),
-                String.valueOf(map.get("az")), new HostAttributes(String.valueOf(map.get("model")),
-                        (int) numberOrZero(map.get("pod_group")), (long) numberOrZero(map.get("boot_ms"))),
-                readiness, numberOrZero(map.get("capacity_hint")));
-    }
-
-    private static double numberOrZero(Object value) {
-        return value instanceof Double d ? d : 0;
-    }
-
     private DirectoryEntry entry(String uid, InetSocketAddress endpoint, String zone, HostAttributes attributes,
             Readiness readiness, double weight) {
         long number = exchangeNumbers.computeIfAbsent(uid, u -> ++lastNumber);
--- a/src/test/java/wingspread/directory/DirectoryTest.java
+++ b/src/test/java/wingspread/directory/DirectoryTest.java
@@ -143,14 +143,51 @@
         return u16(queries.get(queries.size() - 1));
     }
 
-    private int loadCached() throws InvalidInputException {
-        client.loadCached((Map<?, ?>) Json.parse(("{\"rev\":4,\"notices\":[{\"rev\":1,\"pool\":{\"all\":true,"
-                + "\"targets\":["
-                + "{\"uid\":\"s-1\",\"endpoint\":\"127.0.0.9:3868\",\"az\":\"east\",\"model\":\"std\",\"pod_group\":2,"
-                + "\"state\":\"up\",\"capacity_hint\":4,\"boot_ms\":0}]}}]}").getBytes(StandardCharsets.US_ASCII)));
+    private static final String CACHED_EXCHANGE = "{\"uid\":\"s-1\",\"endpoint\":\"127.0.0.9:3868\",\"az\":\"east\","
+            + "\"model\":\"std\",\"pod_group\":2,\"state\":\"up\",\"capacity_hint\":4,\"boot_ms\":0}";
+
+    /** Loads a list of the start, one notice for each list of targets, and sends a query. */
+    private int loadCached(String... noticeTargets) throws InvalidInputException {
+        List<String> notices = new ArrayList<>();
+        for (String targets : noticeTargets) {
+            notices.add("{\"rev\":" + (notices.size() + 1) + ",\"pool\":{\"all\":" + notices.isEmpty()
+                    + ",\"targets\":[" + targets + "]}}");
+        }
+        client.loadCached((Map<?, ?>) Json.parse(("{\"rev\":4,\"notices\":[" + String.join(",", notices) + "]}")
+                .getBytes(StandardCharsets.US_ASCII)));
         return queryList();
     }
 
+    private int loadCached() throws InvalidInputException {
+        return loadCached(CACHED_EXCHANGE);
+    }
+
+    /**
+     * Guards against calls to a wrong exchange: one whose number or start time the list of the start left out counted
+     * as that at place 0, started long ago, and the directory's list with the same serial number was ignored.
+     */
+    @Test
+    void waitsForDirectoryWhereCachedExchangeLacksAFigure() throws InvalidInputException {
+        for (String field : List.of("\"pod_group\":2", "\"boot_ms\":0", "\"model\":\"std\"", "\"az\":\"east\"",
+                "\"endpoint\":\"127.0.0.9:3868\"", "\"state\":\"up\"", "\"capacity_hint\":4")) {
+            DirectoryTest test = new DirectoryTest();
+            int id = test.loadCached(CACHED_EXCHANGE.replace(field, "\"other\":1"));
+            assertEquals(List.of(), test.reported, field);
+            test.receive(response(id, 0, 4, true));
+            assertEquals(List.of(ListKind.DELTA + " s-1 3868 1 1 2 " + Readiness.READY + " 7000"), test.reported,
+                    field);
+        }
+    }
+
+    /** Guards against figures lost where a later notice of the list of the start has only what has changed. */
+    @Test
+    void keepsFiguresThatLaterCachedNoticeLeavesOut() throws InvalidInputException {
+        String other = CACHED_EXCHANGE.replace("s-1", "s-2");
+        loadCached(CACHED_EXCHANGE + "," + other, "{\"uid\":\"s-1\",\"state\":\"draining\"}",
+                "{\"uid\":\"s-2\",\"state\":\"removed\"}");
+        assertEquals(List.of(ListKind.CACHED + " s-1 3868 1 1 2 " + Readiness.DRAINING + " 0"), reported);
+    }
+
     @Test
     void reportsCachedListAndEachChangeOnceAndForgetsRemovedUids() throws InvalidInputException {
         int id = loadCached();
