Draw lists without hosts, lists without a number and foreign answers in the soak

Change: the stand-in answers queries about hosts, and has four kinds more in a round of their own: lists without hosts, an earlier list without its number, an answer to another question, and a return while lists come without hosts and many calls are in transit. A list without hosts counts as telling who drains, has gone and is back, not who is cold.

--- a/src/main/java/wingspread/testbed/NameServer.java
+++ b/src/main/java/wingspread/testbed/NameServer.java
@@ -19,6 +19,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -54,7 +55,11 @@
 
     /** Maximum length of an answer over UDP; a longer list is truncated after an exchange, and complete over TCP. */
     private static final int MAX_UDP_BYTES = 8_000;
+    /** An authoritative response without an error. */
+    private static final int FLAGS_RESPONSE = 0x8400;
     private static final int FLAG_TRUNCATED = 0x0200;
+    /** Distance of the low byte of a question's type from the end of the query. */
+    private static final int QUESTION_TYPE_FROM_END = 3;
     /** Limit of the 16-bit length prefix of DNS over TCP. */
     private static final int MAX_TCP_BYTES = 65_535;
 
@@ -147,32 +152,118 @@
 
     private static byte[] answer(byte[] question, int serial, Collection<ListedExchange> list, boolean truncated) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        out.write(question, 0, 2);
-        writeU16(out, 0x8400 | (truncated ? FLAG_TRUNCATED : 0), 1, list.size(), 1, 2 * list.size());
-        out.write(question, HEADER_BYTES, question.length - HEADER_BYTES);
+        writeHeader(out, question, truncated, list.size(), 1, 2 * list.size());
+        list.forEach(exchange -> writeService(out, exchange));
+        writeSerial(out, serial);
         for (ListedExchange exchange : list) {
-            byte[] target = encodeName(exchange.uid(), exchange.zone(), "hosts");
-            writeRecord(out, encodeName(SERVICE), TYPE_SRV, encode(data -> {
-                writeU16(data, exchange.readiness() == Readiness.READY ? 0 : 1, 10, exchange.port());
-                data.writeBytes(target);
-            }));
+            writeAddress(out, exchange);
+            writeAttributes(out, exchange);
         }
+        return out.toByteArray();
+    }
+
+    /** Whether a query is for the list, and not for one host. */
+    public static boolean isForList(byte[] question) {
+        byte[] name = encodeName(SERVICE);
+        return Arrays.equals(name, 0, name.length, question, HEADER_BYTES,
+                Math.min(question.length, HEADER_BYTES + name.length));
+    }
+
+    /** Returns the answer to a query for the list without the optional records of the hosts (RFC 2181, section 9). */
+    public static byte[] answerWithoutHosts(byte[] question, int serial, Collection<ListedExchange> all) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        writeHeader(out, question, false, all.size(), 1, 0);
+        all.forEach(exchange -> writeService(out, exchange));
+        writeSerial(out, serial);
+        return out.toByteArray();
+    }
+
+    /** Returns the answer to a query for the list, marked as truncated and cut before its serial number. */
+    public static byte[] answerWithoutSerial(byte[] question, Collection<ListedExchange> all) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        writeHeader(out, question, true, all.size(), 0, 0);
+        all.forEach(exchange -> writeService(out, exchange));
+        return out.toByteArray();
+    }
+
+    /**
+     * Returns the answer to a query for the address or the attributes of a host; without a record if the host is not
+     * listed, or if the attributes are asked for and are cut off.
+     */
+    public static byte[] answerForHost(byte[] question, int serial, Collection<ListedExchange> all,
+            boolean cutAttributes) {
+        boolean forAddress = question[question.length - QUESTION_TYPE_FROM_END] == TYPE_A;
+        ByteArrayOutputStream records = new ByteArrayOutputStream();
+        for (ListedExchange exchange : all) {
+            byte[] host = encodeHostName(exchange);
+            boolean isQueried = Arrays.equals(host, 0, host.length, question, HEADER_BYTES,
+                    Math.min(question.length, HEADER_BYTES + host.length));
+            if (isQueried && forAddress) {
+                writeAddress(records, exchange);
+            } else if (isQueried && !cutAttributes) {
+                writeAttributes(records, exchange);
+            }
+        }
+        boolean truncated = cutAttributes && !forAddress;
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        writeHeader(out, question, truncated, records.size() == 0 ? 0 : 1, truncated ? 0 : 1, 0);
+        out.writeBytes(records.toByteArray());
+        if (!truncated) {
+            writeSerial(out, serial);
+        }
+        return out.toByteArray();
+    }
+
+    /** Returns the answer, under the id of this query, that a host which nobody has asked about has no attributes. */
+    public static byte[] answerToAnotherQuestion(byte[] question, int serial) {
+        byte[] otherName = encodeName("s-0", "z0", "hosts");
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.write(question, 0, 2);
+        writeU16(out, FLAGS_RESPONSE, 1, 0, 1, 0);
+        out.writeBytes(otherName);
+        writeU16(out, TYPE_TXT, CLASS_IN);
+        writeSerial(out, serial);
+        return out.toByteArray();
+    }
+
+    /** Writes the header and the question of an answer with these numbers of records in its sections. */
+    private static void writeHeader(ByteArrayOutputStream out, byte[] question, boolean truncated, int answers,
+            int authorities, int additional) {
+        out.write(question, 0, 2);
+        writeU16(out, FLAGS_RESPONSE | (truncated ? FLAG_TRUNCATED : 0), 1, answers, authorities, additional);
+        out.write(question, HEADER_BYTES, question.length - HEADER_BYTES);
+    }
+
+    private static byte[] encodeHostName(ListedExchange exchange) {
+        return encodeName(exchange.uid(), exchange.zone(), "hosts");
+    }
+
+    private static void writeService(ByteArrayOutputStream out, ListedExchange exchange) {
+        writeRecord(out, encodeName(SERVICE), TYPE_SRV, encode(data -> {
+            writeU16(data, exchange.readiness() == Readiness.READY ? 0 : 1, 10, exchange.port());
+            data.writeBytes(encodeHostName(exchange));
+        }));
+    }
+
+    private static void writeSerial(ByteArrayOutputStream out, int serial) {
         writeRecord(out, encodeName(SERVICE), TYPE_SOA, encode(data -> {
             data.writeBytes(encodeName(SERVICE));
             data.writeBytes(encodeName(SERVICE));
             writeU16(data, serial >>> 16, serial & 0xffff);
             writeU16(data, 0, 1, 0, 1, 0, 1, 0, 1);
         }));
-        for (ListedExchange exchange : list) {
-            byte[] target = encodeName(exchange.uid(), exchange.zone(), "hosts");
-            writeRecord(out, target, TYPE_A, InetAddress.getLoopbackAddress().getAddress());
-            writeRecord(out, target, TYPE_TXT, encode(data -> {
-                writeCharacterString(data, "kind=std");
-                writeCharacterString(data, "cell=" + exchange.place());
-                writeCharacterString(data, "started=" + exchange.startedMs());
-            }));
-        }
-        return out.toByteArray();
+    }
+
+    private static void writeAddress(ByteArrayOutputStream out, ListedExchange exchange) {
+        writeRecord(out, encodeHostName(exchange), TYPE_A, InetAddress.getLoopbackAddress().getAddress());
+    }
+
+    private static void writeAttributes(ByteArrayOutputStream out, ListedExchange exchange) {
+        writeRecord(out, encodeHostName(exchange), TYPE_TXT, encode(data -> {
+            writeCharacterString(data, "kind=std");
+            writeCharacterString(data, "cell=" + exchange.place());
+            writeCharacterString(data, "started=" + exchange.startedMs());
+        }));
     }
 
     /** Writes the data of a record or name. */
--- a/src/main/java/wingspread/testbed/soak/CallerStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/CallerStandIn.java
@@ -36,14 +36,15 @@
     private static final long RETRY_INTERVAL_MICROS = 20_000;
     /** PROTOCOL: 'a set-up that crosses such a close within 50 ms is resent'. */
     private static final long CROSSING_WINDOW_MICROS = 50_000;
-    private static final double TRANSIT_SHARE = 0.1;
+    /** The share of calls in transit, unless a fault sets another one. */
+    static final double TRANSIT_SHARE = 0.1;
     private static final double HANG_UP_SHARE = 0.1;
     private static final double SHORT_DEADLINE_SHARE = 0.1;
     private static final double MISBEHAVING_SHARE = 0.25;
     private static final long FRAGMENT_PAUSE_MICROS = 8_000;
-    /** Maximum additional pause between the two parts of a request of a very slow writer. */
     /** The longest time for which a caller that leaves keeps its connection. */
     private static final long MAX_STAY_MICROS = 60_000;
+    /** Maximum additional pause between the two parts of a request of a very slow writer. */
     private static final long MAX_SLOW_WRITER_PAUSE_MICROS = 1_500_000;
     private static final String TEST_REQUEST =
             "{\"op\":\"test\",\"call\":\"0000000000000001\",\"with\":{},\"why\":0}\n";
@@ -72,6 +73,7 @@
     private final Map<Misbehaviour, Boolean> misbehaviours = new LinkedHashMap<>();
     /** Connections with a partially written message: no other message may be written before the rest. */
     private final Set<Channel> partiallyWritten = new HashSet<>();
+    private double transitShare = TRANSIT_SHARE;
     private int pendingResends;
     private boolean offering;
     /** Until when the callers offer nothing and keep no connection, in microseconds. */
@@ -150,6 +152,11 @@
         misbehaviours.put(misbehaviour, on);
     }
 
+    /** Sets the share of calls that are offered in transit. */
+    void setTransitShare(double share) {
+        transitShare = share;
+    }
+
     /** Records that SIGTERM has just been sent to the softswitch. */
     void sigtermSent() {
         sigtermAt = loop.now();
@@ -321,7 +328,7 @@
         long remainingMs = (long) (deployment.deadlinesMs().get(callClass)
                 * (random.nextDouble() < SHORT_DEADLINE_SHARE ? 0.05 + 0.25 * random.nextDouble() : 1));
         int destination = otherDestination();
-        boolean transit = deployment.exchanges() > 2 && random.nextDouble() < TRANSIT_SHARE;
+        boolean transit = deployment.exchanges() > 2 && random.nextDouble() < transitShare;
         String line = offerRequest(id, callClass, remainingMs, destination, transit);
         if (misbehaves(Misbehaviour.SLOW_WRITER)) {
             int splitAt = 1 + random.nextInt(line.length() - 2);
--- a/src/main/java/wingspread/testbed/soak/DirectoryStandIn.java
+++ b/src/main/java/wingspread/testbed/soak/DirectoryStandIn.java
@@ -44,7 +44,10 @@
     private static final int RCODE_SERVER_FAILURE = 2;
 
     /** How the directory answers queries. */
-    enum Mode { CORRECT, SILENT, LATE, INCOMPLETE, TRUNCATED, STALE, WRONG_ID, ERROR }
+    enum Mode {
+        CORRECT, SILENT, LATE, INCOMPLETE, TRUNCATED, STALE, WRONG_ID, ERROR, WITHOUT_HOSTS, STALE_WITHOUT_SERIAL,
+        WRONG_QUESTION
+    }
 
     /** An earlier state of the list of exchanges. */
     private record Snapshot(int serial, List<ListedExchange> list) { }
@@ -107,6 +110,10 @@
      * @param micros delay of the answers in microseconds in the mode {@link Mode#LATE}
      */
     void setMode(Mode newMode, long micros) {
+        if (newMode == Mode.WRONG_QUESTION) {
+            // An event that changes no exchange, so that the answers carry a newer serial number than any list.
+            saveSnapshot();
+        }
         mode = newMode;
         delayMicros = micros;
     }
@@ -162,28 +169,19 @@
         if (query.length < HEADER_BYTES || mode == Mode.SILENT) {
             return;
         }
-        Snapshot staleList = mode == Mode.STALE && !snapshots.isEmpty() ? snapshots.peek() : null;
-        boolean overUdp = maxBytes == MAX_UDP_BYTES;
-        byte[] answer = staleList != null ? NameServer.answer(query, staleList.serial(), staleList.list(), maxBytes)
-                : NameServer.answer(query, serial, exchanges.values(),
-                        mode == Mode.TRUNCATED && overUdp ? TRUNCATED_BYTES : maxBytes);
-        boolean isCorrect = staleList == null;
+        boolean isForList = NameServer.isForList(query);
+        byte[] answer = isForList ? listAnswer(query, maxBytes)
+                : NameServer.answerForHost(query, serial, exchanges.values(), mode == Mode.WITHOUT_HOSTS);
         switch (mode) {
-            case INCOMPLETE -> {
-                answer = Arrays.copyOf(answer, answer.length / 2);
-                isCorrect = false;
-            }
-            case WRONG_ID -> {
-                answer[0] ^= 0x55;
-                isCorrect = false;
-            }
-            case ERROR -> {
-                answer[3] |= RCODE_SERVER_FAILURE;
-                isCorrect = false;
-            }
-            default -> isCorrect &= mode != Mode.TRUNCATED || !overUdp;
+            case INCOMPLETE -> answer = Arrays.copyOf(answer, answer.length / 2);
+            case WRONG_ID -> answer[0] ^= 0x55;
+            case ERROR -> answer[3] |= RCODE_SERVER_FAILURE;
+            default -> { }
         }
-        boolean countsAsDelivered = isCorrect;
+        boolean isWhole = mode == Mode.CORRECT || mode == Mode.LATE
+                || mode == Mode.TRUNCATED && maxBytes == MAX_TCP_BYTES || isStale() && snapshots.isEmpty();
+        boolean countsAsDelivered = isForList && isWhole;
+        boolean namesServices = isForList && mode == Mode.WITHOUT_HOSTS;
         int sentSerial = serial;
         ByteBuf bytes = Unpooled.wrappedBuffer(answer);
         int queriedPort = port;
@@ -194,11 +192,34 @@
                     log.add("directory of n" + softswitch, "answers with serial " + sentSerial);
                 }
                 judge.listDelivered(softswitch, sentSerial);
+            } else if (namesServices && queriedPort == port) {
+                judge.servicesDelivered(softswitch, sentSerial);
             }
             sender.send(bytes);
         });
     }
 
+    private boolean isStale() {
+        return mode == Mode.STALE || mode == Mode.STALE_WITHOUT_SERIAL;
+    }
+
+    /** Returns the answer to a query for the list, as the mode demands. */
+    private byte[] listAnswer(byte[] query, int maxBytes) {
+        Snapshot staleList = isStale() ? snapshots.peek() : null;
+        if (staleList != null) {
+            return mode == Mode.STALE ? NameServer.answer(query, staleList.serial(), staleList.list(), maxBytes)
+                    : NameServer.answerWithoutSerial(query, staleList.list());
+        }
+        if (mode == Mode.WITHOUT_HOSTS) {
+            return NameServer.answerWithoutHosts(query, serial, exchanges.values());
+        }
+        if (mode == Mode.WRONG_QUESTION) {
+            return NameServer.answerToAnotherQuestion(query, serial);
+        }
+        boolean truncates = mode == Mode.TRUNCATED && maxBytes == MAX_UDP_BYTES;
+        return NameServer.answer(query, serial, exchanges.values(), truncates ? TRUNCATED_BYTES : maxBytes);
+    }
+
     /** Returns the serial number of the current list; each change increments it. */
     int serial() {
         return serial;
--- a/src/main/java/wingspread/testbed/soak/FaultInjector.java
+++ b/src/main/java/wingspread/testbed/soak/FaultInjector.java
@@ -17,6 +17,10 @@
     private static final int RELOADS = 3;
     private static final long BAD_CALLER_INTERVAL_MICROS = 100_000;
     private static final long IDLE_INTERVAL_MICROS = 700_000;
+    private static final long DIRECTORY_MODE_LEAD_MICROS = 100_000;
+    private static final long WITHOUT_HOSTS_MICROS = 1_100_000;
+    private static final double MANY_IN_TRANSIT = 0.6;
+    private static final long MANY_IN_TRANSIT_MICROS = 3_000_000;
     /** Connections that a flood opens at a time. */
     private static final int CONNECTION_BATCH_SIZE = 50;
 
@@ -69,10 +73,18 @@
             case DIRECTORY_TRUNCATED -> Mode.TRUNCATED;
             case DIRECTORY_OLD -> Mode.STALE;
             case DIRECTORY_WRONG_ID -> Mode.WRONG_ID;
+            case DIRECTORY_WITHOUT_HOSTS -> Mode.WITHOUT_HOSTS;
+            case DIRECTORY_OLD_CUT -> Mode.STALE_WITHOUT_SERIAL;
+            case DIRECTORY_WRONG_QUESTION -> Mode.WRONG_QUESTION;
             default -> Mode.ERROR;
         };
-        softswitches.forEach(s -> s.directory().setMode(mode, fault.size() * 1_000L));
-        scheduleEnd(fault, () -> softswitches.forEach(s -> s.directory().setMode(Mode.CORRECT, 0)));
+        setDirectoryMode(mode, fault.size() * 1_000L, fault.forMs() * 1_000L);
+    }
+
+    /** Sets the mode of all directories for a time in microseconds. */
+    private void setDirectoryMode(Mode mode, long delayMicros, long durationMicros) {
+        softswitches.forEach(s -> s.directory().setMode(mode, delayMicros));
+        loop.at(loop.now() + durationMicros, () -> softswitches.forEach(s -> s.directory().setMode(Mode.CORRECT, 0)));
     }
 
     private void injectIntoSoftswitch(PlannedFault fault, SoftswitchHost softswitch) {
@@ -142,6 +154,7 @@
             case CRASH -> exchange.crash(fault.forMs());
             case DRAIN -> exchange.drain(fault.size());
             case RETURN -> exchange.drainAndReturn(fault.size(), fault.forMs());
+            case RETURN_WITHOUT_HOSTS -> returnWithoutHosts(fault, exchange);
             case HANG -> {
                 ExchangeStandIn process = exchange.process();
                 process.hang();
@@ -168,6 +181,19 @@
         }
     }
 
+    /** Lets an exchange return while lists come without hosts and many calls are in transit, bound to one exchange. */
+    private void returnWithoutHosts(PlannedFault fault, ExchangeHost exchange) {
+        exchange.drainAndReturn(fault.size(), fault.forMs());
+        long returnAt = loop.now() + (fault.size() + fault.forMs()) * 1_000L;
+        // From before the list tells of the return.
+        loop.at(returnAt - DIRECTORY_MODE_LEAD_MICROS, () -> {
+            setDirectoryMode(Mode.WITHOUT_HOSTS, 0, WITHOUT_HOSTS_MICROS);
+            softswitches.forEach(s -> s.callers().setTransitShare(MANY_IN_TRANSIT));
+        });
+        loop.at(returnAt + MANY_IN_TRANSIT_MICROS,
+                () -> softswitches.forEach(s -> s.callers().setTransitShare(CallerStandIn.TRANSIT_SHARE)));
+    }
+
     private void injectIntoConnections(PlannedFault fault, ExchangeHost exchange) {
         switch (fault.kind()) {
             case RESET -> forEachProxy(exchange, FaultProxy::reset);
--- a/src/main/java/wingspread/testbed/soak/FaultKind.java
+++ b/src/main/java/wingspread/testbed/soak/FaultKind.java
@@ -83,7 +83,15 @@
      */
     QUIET_RESTART(Group.SHUTDOWN, Target.SOFTSWITCH, 2),
     /** Callers close their connection during a set-up and send it again under the same id on another one. */
-    LEAVE_AND_REPEAT(Group.PIECES, Target.SOFTSWITCH, 2);
+    LEAVE_AND_REPEAT(Group.PIECES, Target.SOFTSWITCH, 2),
+    /** The directory's lists come without the records of the hosts, and answers about a host's attributes are cut. */
+    DIRECTORY_WITHOUT_HOSTS(Group.DISCOVERY, Target.NONE, 3),
+    /** The directory answers with an earlier list that is marked as truncated and cut before its serial number. */
+    DIRECTORY_OLD_CUT(Group.DISCOVERY, Target.NONE, 3),
+    /** The directory answers, under the query's id, that a host has no attributes, with the serial number. */
+    DIRECTORY_WRONG_QUESTION(Group.DISCOVERY, Target.NONE, 3),
+    /** An exchange returns as in {@link #RETURN} while the directory answers without hosts for a second. */
+    RETURN_WITHOUT_HOSTS(Group.DISCOVERY, Target.EXCHANGE, 3);
 
     /** The group of a fault; a drawn schedule has faults of every group. */
     public enum Group { SHUTDOWN, DISCOVERY, CALLERS, NETWORK, PIECES }
--- a/src/main/java/wingspread/testbed/soak/Judge.java
+++ b/src/main/java/wingspread/testbed/soak/Judge.java
@@ -72,6 +72,8 @@
     private final Map<String, Call> calls = new HashMap<>();
     /** The changes of the list that each softswitch has not been informed of yet. */
     private final Map<Integer, List<Change>> pendingChanges = new HashMap<>();
+    /** The changes whose hosts, with address and start time, each softswitch has not been informed of yet. */
+    private final Map<Integer, List<Change>> pendingHosts = new HashMap<>();
     /** The exchanges that the current process of each softswitch has been informed of, including removed ones. */
     private final Map<Integer, Set<String>> knownExchanges = new HashMap<>();
     private final Map<String, Long> addressIds = new LinkedHashMap<>();
@@ -157,6 +159,7 @@
         processes.merge(softswitch, 1, Integer::sum);
         down.remove(softswitch);
         pendingChanges.put(softswitch, new ArrayList<>());
+        pendingHosts.put(softswitch, new ArrayList<>());
         knownExchanges.put(softswitch, new HashSet<>(listed));
         listed.forEach(uid -> rules.directoryNotified(softswitch, addressId(uid), false, loop.now()));
     }
@@ -168,11 +171,27 @@
 
     /** The list has changed; the softswitch counts as informed once an answer with this serial is sent to it. */
     void listChanged(int softswitch, int serial, String uid, boolean removed) {
-        pendingChanges.computeIfAbsent(softswitch, ignored -> new ArrayList<>()).add(new Change(serial, uid, removed));
+        Change change = new Change(serial, uid, removed);
+        pendingChanges.computeIfAbsent(softswitch, ignored -> new ArrayList<>()).add(change);
+        pendingHosts.computeIfAbsent(softswitch, ignored -> new ArrayList<>()).add(change);
     }
 
     /** The softswitch has been sent the list with this serial, or must know it by now. */
     void listDelivered(int softswitch, int serial) {
+        servicesDelivered(softswitch, serial);
+        List<Change> changes = pendingHosts.get(softswitch);
+        if (changes != null) {
+            changes.stream().filter(change -> change.serial() <= serial)
+                    .forEach(change -> knownExchanges.get(softswitch).add(change.uid()));
+            changes.removeIf(change -> change.serial() <= serial);
+        }
+    }
+
+    /**
+     * An answer was sent that names all exchanges with their states, and may lack their hosts: who drains, has gone or
+     * is back is known by it, and not yet that a process is another one or cold.
+     */
+    void servicesDelivered(int softswitch, int serial) {
         List<Change> changes = pendingChanges.get(softswitch);
         if (changes == null) {
             return;
@@ -180,7 +199,6 @@
         for (Change change : List.copyOf(changes)) {
             if (change.serial() <= serial) {
                 changes.remove(change);
-                knownExchanges.get(softswitch).add(change.uid());
                 rules.directoryNotified(softswitch, addressId(change.uid()), change.removed(), loop.now());
             }
         }
--- a/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
+++ b/src/main/java/wingspread/testbed/soak/ScheduleGenerator.java
@@ -34,7 +34,7 @@
     private static final int MAX_SEPARATE_FAULTS = 4;
     private static final int MAX_DISTURBANCE_DELAY_MS = 2_000;
     /** Number of rounds in which faults are drawn after the first. */
-    private static final int DRAWING_ROUNDS = 2;
+    private static final int DRAWING_ROUNDS = 3;
     private static final long SEPARATE_SEED_OFFSET = 0x5eba_7a7eL;
 
     private ScheduleGenerator() { }
@@ -126,6 +126,7 @@
             case DIRECTORY_LATE -> random.nextInt(200, 1_500);
             case VANISH, REPLACE -> random.nextInt(1_500, 9_001);
             case DRAIN, RETURN -> random.nextInt(500, 4_001);
+            case RETURN_WITHOUT_HOSTS -> random.nextInt(300, 1_001);
             case CROWD -> random.nextInt(100, 2_001);
             case BURST -> random.nextInt(20, 151);
             case RESET_IN_MESSAGE -> random.nextInt(100, 3_000);
@@ -137,6 +138,7 @@
             case CRASH -> random.nextInt(100, 3_001);
             case QUIET_RESTART -> random.nextInt(1_000, 3_001);
             case RETURN -> random.nextInt(300, 2_001);
+            case RETURN_WITHOUT_HOSTS -> random.nextInt(500, 1_201);
             case LATE_CONNECT -> random.nextInt(200, 1_001);
             default -> kind.target() == Target.NONE ? Math.min(defaultDurationMs, MAX_DIRECTORY_FAULT_MS)
                     : defaultDurationMs;
@@ -144,19 +146,27 @@
         return new PlannedFault(kind, target, atMs, durationMs, size);
     }
 
-    /** Sorts faults by their start and drops directory faults that start too soon after the previous one. */
+    /**
+     * Sorts faults by their start and drops directory faults that are too close to another one. Of two such faults the
+     * one of the earlier round stays, or else the one that starts first.
+     */
     private static List<PlannedFault> sortAndSpaceOut(List<PlannedFault> faults) {
-        List<PlannedFault> sorted = new ArrayList<>();
-        int earliestDirectoryFaultMs = 0;
-        for (PlannedFault fault : faults.stream().sorted(Comparator.comparingInt(PlannedFault::atMs)).toList()) {
-            if (fault.kind().target() == Target.NONE) {
-                if (fault.atMs() < earliestDirectoryFaultMs) {
-                    continue;
-                }
-                earliestDirectoryFaultMs = fault.atMs() + fault.forMs() + DIRECTORY_PAUSE_MS;
-            }
-            sorted.add(fault);
-        }
-        return sorted;
+        List<PlannedFault> ofDirectory = new ArrayList<>();
+        faults.stream().filter(ScheduleGenerator::affectsDirectory)
+                .sorted(Comparator.<PlannedFault>comparingInt(fault -> fault.kind().drawingRound())
+                        .thenComparingInt(PlannedFault::atMs))
+                .filter(fault -> ofDirectory.stream().noneMatch(other -> areTooClose(fault, other)))
+                .forEach(ofDirectory::add);
+        return faults.stream().filter(fault -> !affectsDirectory(fault) || ofDirectory.contains(fault))
+                .sorted(Comparator.comparingInt(PlannedFault::atMs)).toList();
+    }
+
+    private static boolean affectsDirectory(PlannedFault fault) {
+        return fault.kind().target() == Target.NONE;
+    }
+
+    private static boolean areTooClose(PlannedFault fault, PlannedFault other) {
+        return fault.atMs() < other.atMs() + other.forMs() + DIRECTORY_PAUSE_MS
+                && other.atMs() < fault.atMs() + fault.forMs() + DIRECTORY_PAUSE_MS;
     }
 }
--- a/src/test/java/wingspread/testbed/soak/PlantedFaultTest.java
+++ b/src/test/java/wingspread/testbed/soak/PlantedFaultTest.java
@@ -51,6 +51,11 @@
                 Arguments.of(new PlantedBuild("widths of callers are not checked", "front/jsonl/OfferParser.java",
                         "require(text == null || finite(\"width\", text) == callClass.width(),", "require(true,"),
                         Set.of(FaultKind.FORGERY), Rule.PROCESS),
+                Arguments.of(new PlantedBuild("attributes that were cut off count as zero", "directory/Roster.java",
+                        ".getOrDefault(host, HostRecords.UNKNOWN);\n        if (awaitedHosts",
+                        ".getOrDefault(host, new HostRecords(null, new HostAttributes(\"\", 0, 0)));\n"
+                                + "        if (awaitedHosts"),
+                        Set.of(FaultKind.RETURN_WITHOUT_HOSTS), Rule.ROUTE),
                 Arguments.of(new PlantedBuild("descriptors of idle connections leak", "net/Admission.java",
                         "boolean hasCapacity = awaitingFirstMessage.size() + active.size() < maxConnections.getAsInt()"
                                 + " || evictOne();",
--- a/src/test/java/wingspread/testbed/soak/SoakTest.java
+++ b/src/test/java/wingspread/testbed/soak/SoakTest.java
@@ -63,6 +63,15 @@
         assertTrue(outcomes.stream().mapToLong(o -> o.result().established()).sum() > 200);
     }
 
+    @Test
+    void shortSoakOfListsWithoutHostsBreaksNoRule() throws Exception {
+        Soak soak = new Soak(new Soak.Plan(301, 2, SECONDS, kinds(kind -> kind.drawingRound() == 3), 2, 0, List.of()),
+                folder, outcome -> { });
+        List<Soak.Outcome> outcomes = soak.run();
+        assertEquals(List.of(), outcomes.stream().filter(Soak.Outcome::hasFailed).map(SoakReport::describe).toList());
+        assertTrue(outcomes.stream().mapToLong(o -> o.result().established()).sum() > 200);
+    }
+
     @Test
     void generatesSameScheduleForSameSeedAndEveryFaultOverManySeeds() throws Exception {
         Schedule original = ScheduleGenerator.generate(7, 12, Set.of());
